--- a/internal/resource/decode.go
+++ b/internal/resource/decode.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 )
 
@@ -64,7 +65,7 @@
 		APIVersion string   `yaml:"apiVersion"`
 		Kind       Kind     `yaml:"kind"`
 		Metadata   Metadata `yaml:"metadata"`
-		Spec       any      `yaml:"spec"`
+		Spec       ast.Node `yaml:"spec"`
 		Status     any      `yaml:"status"`
 	}
 	if err := decodeStrict(data, &head); err != nil {
@@ -80,14 +81,11 @@
 		list.addf("kind", "%q is not one of %v", head.Kind, Kinds)
 		return Resource{}, false
 	}
-	body := struct {
-		APIVersion string   `yaml:"apiVersion"`
-		Kind       Kind     `yaml:"kind"`
-		Metadata   Metadata `yaml:"metadata"`
-		Spec       Spec     `yaml:"spec"`
-		Status     any      `yaml:"status"`
-	}{Spec: spec}
-	if err := decodeStrict(data, &body); err != nil {
+	if head.Spec == nil {
+		list.addf("spec", "is missing")
+		return Resource{}, false
+	}
+	if err := yaml.NodeToValue(head.Spec, spec, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
 		list.addf("spec", "%s", yamlReason(err))
 		return Resource{}, false
 	}
