--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,248 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// dialTimeout bounds the time to open a connection including the handshake.
+const dialTimeout = 300 * time.Millisecond
+
+// Client calls other VMs over one WebSocket each. It is safe for concurrent use.
+type Client struct {
+	identity Identity
+	token    string
+	http     *http.Client
+
+	mu    sync.Mutex
+	conns map[string]*clientConn
+}
+
+// NewClient returns a client that introduces itself with the identity.
+func NewClient(identity Identity, token string) *Client {
+	return &Client{identity: identity, token: token, http: &http.Client{}, conns: make(map[string]*clientConn)}
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		conn.close()
+	}
+}
+
+// Call sends one message to the VM at the address and decodes its answer into
+// reply. It returns the identity of the process that answered. The error is of
+// type *RemoteError or *UnreachableError.
+func (c *Client) Call(ctx context.Context, address string, kind MessageType, call, reply any) (Identity, error) {
+	conn := c.conn(address)
+	if err := conn.open(ctx); err != nil {
+		return Identity{}, unreachable(address, err)
+	}
+	body, err := conn.call(ctx, kind, call)
+	if err != nil {
+		var remote *RemoteError
+		if errors.As(err, &remote) {
+			return conn.peer, remote
+		}
+		return conn.peer, unreachable(address, err)
+	}
+	if err := decodeMode.Unmarshal(body, reply); err != nil {
+		return conn.peer, &RemoteError{Code: CodeMalformed, Detail: err.Error()}
+	}
+	return conn.peer, nil
+}
+
+func unreachable(address string, err error) error {
+	return &UnreachableError{Address: address, Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
+}
+
+// conn returns the present connection to the address, or a new one that still has
+// to be opened.
+func (c *Client) conn(address string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn, ok := c.conns[address]
+	if !ok || conn.closed() {
+		conn = newClientConn(c, address)
+		c.conns[address] = conn
+	}
+	return conn
+}
+
+// clientConn is one connection. After it was closed it is not used again.
+type clientConn struct {
+	client  *Client
+	address string
+	done    chan struct{}
+	finish  sync.Once
+	nextID  atomic.Uint64
+
+	// opening serializes open.
+	opening sync.Mutex
+	socket  atomic.Pointer[websocket.Conn]
+	// peer is set before socket.
+	peer Identity
+
+	mu      sync.Mutex
+	pending map[uint64]chan envelope
+}
+
+func newClientConn(client *Client, address string) *clientConn {
+	return &clientConn{
+		client:  client,
+		address: address,
+		done:    make(chan struct{}),
+		pending: make(map[uint64]chan envelope),
+	}
+}
+
+func (c *clientConn) closed() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *clientConn) close() {
+	c.finish.Do(func() {
+		close(c.done)
+		if socket := c.socket.Load(); socket != nil {
+			_ = socket.CloseNow()
+		}
+	})
+}
+
+// open dials and exchanges identities unless that has been done.
+func (c *clientConn) open(ctx context.Context) error {
+	c.opening.Lock()
+	defer c.opening.Unlock()
+	if c.closed() {
+		return errors.New("connection is closed")
+	}
+	if c.socket.Load() != nil {
+		return nil
+	}
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	if err := c.dial(ctx); err != nil {
+		c.close()
+		return err
+	}
+	go c.readLoop()
+	return nil
+}
+
+func (c *clientConn) dial(ctx context.Context) error {
+	header := http.Header{}
+	if c.client.token != "" {
+		header.Set(tokenHeader, c.client.token)
+	}
+	socket, _, err := websocket.Dial(ctx, "ws://"+c.address+ControlPath, &websocket.DialOptions{HTTPClient: c.client.http, HTTPHeader: header})
+	if err != nil {
+		return errors.Wrap(err, "dial")
+	}
+	socket.SetReadLimit(maxMessageBytes)
+	if err := c.handshake(ctx, socket); err != nil {
+		_ = socket.CloseNow()
+		return errors.Wrap(err, "handshake")
+	}
+	c.socket.Store(socket)
+	return nil
+}
+
+func (c *clientConn) handshake(ctx context.Context, socket *websocket.Conn) error {
+	if err := writeCBOR(ctx, socket, c.client.identity); err != nil {
+		return err
+	}
+	if err := readCBOR(ctx, socket, &c.peer); err != nil {
+		return err
+	}
+	if c.peer.Version != Version {
+		return errors.Errorf("protocol version %d is not supported", c.peer.Version)
+	}
+	return nil
+}
+
+func (c *clientConn) readLoop() {
+	defer c.close()
+	for {
+		_, data, err := c.socket.Load().Read(context.Background())
+		if err != nil {
+			return
+		}
+		message, err := decode(data)
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		waiter := c.pending[message.ID]
+		delete(c.pending, message.ID)
+		c.mu.Unlock()
+		if waiter != nil {
+			waiter <- message
+		}
+	}
+}
+
+func (c *clientConn) call(ctx context.Context, kind MessageType, body any) (cbor.RawMessage, error) {
+	id := c.nextID.Add(1)
+	data, err := encode(kind, id, directionCall, body)
+	if err != nil {
+		return nil, err
+	}
+	waiter := make(chan envelope, 1)
+	c.mu.Lock()
+	c.pending[id] = waiter
+	c.mu.Unlock()
+	defer c.forget(id)
+	if err := c.write(ctx, data); err != nil {
+		return nil, err
+	}
+	select {
+	case message := <-waiter:
+		return replyBody(message)
+	case <-c.done:
+		return nil, errors.New("connection lost")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// write sends a message. A failed or interrupted write leaves the stream in an
+// unknown state, so the connection is closed.
+func (c *clientConn) write(ctx context.Context, data []byte) error {
+	if err := c.socket.Load().Write(ctx, websocket.MessageBinary, data); err != nil {
+		c.close()
+		return errors.Wrap(err, "send")
+	}
+	return nil
+}
+
+func (c *clientConn) forget(id uint64) {
+	c.mu.Lock()
+	delete(c.pending, id)
+	c.mu.Unlock()
+}
+
+func replyBody(message envelope) (cbor.RawMessage, error) {
+	if message.Direction == directionReply {
+		return message.Body, nil
+	}
+	var remote RemoteError
+	if err := decodeMode.Unmarshal(message.Body, &remote); err != nil {
+		return nil, &RemoteError{Code: CodeMalformed, Detail: "error answer can't be decoded"}
+	}
+	return nil, &remote
+}
--- /dev/null
+++ b/internal/peer/forward.go
@@ -0,0 +1,258 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"fireflyfield/internal/backend"
+	"fireflyfield/internal/httpheader"
+	"fireflyfield/internal/outcome"
+)
+
+// ForwardPath is the prefix of forwarded requests on the peer listener. The
+// target of the request follows it.
+const ForwardPath = "/peer/v1/forward"
+
+// Headers of a forwarded request and its answer. Both hold base64 of CBOR.
+const (
+	headerForward = "Fireflyfield-Forward"
+	headerFailure = "Fireflyfield-Forward-Failure"
+)
+
+// maxForwardBody bounds the body of a forwarded request.
+const maxForwardBody = 64 << 20
+
+// Attempt is one try of a caller's request at one backend server, made through
+// that server's gate.
+type Attempt struct {
+	Service string `cbor:"1,keyasint"`
+	Server  string `cbor:"2,keyasint"`
+	// Keyed requests name their unit and the fencing token that the entry VM knows.
+	Keyed   bool          `cbor:"3,keyasint,omitempty"`
+	Unit    uint64        `cbor:"4,keyasint,omitempty"`
+	Fence   backend.Fence `cbor:"5,keyasint,omitzero"`
+	KeyHash uint64        `cbor:"6,keyasint,omitempty"`
+
+	RequestID  string `cbor:"7,keyasint"`
+	Workspace  string `cbor:"8,keyasint"`
+	DeadlineMs int64  `cbor:"9,keyasint"`
+	Idempotent bool   `cbor:"10,keyasint,omitempty"`
+
+	Method string      `cbor:"-"`
+	Target string      `cbor:"-"`
+	Header http.Header `cbor:"-"`
+	Body   []byte      `cbor:"-"`
+}
+
+// Deadline returns the end of the request's time.
+func (a Attempt) Deadline() time.Time { return time.UnixMilli(a.DeadlineMs) }
+
+// wireFailure is the form of a backend.Failure between VMs.
+type wireFailure struct {
+	Kind     outcome.Kind `cbor:"1,keyasint"`
+	Reason   string       `cbor:"2,keyasint"`
+	Instance string       `cbor:"3,keyasint,omitempty"`
+	// RetryAfterMs is the gate's advice.
+	RetryAfterMs int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Sender makes an attempt; the error is of type *backend.Failure.
+type Sender interface {
+	Send(ctx context.Context, attempt Attempt) (*backend.Response, error)
+}
+
+// Forwarder sends attempts to the gate on another VM over HTTP/2.
+type Forwarder struct {
+	token string
+	http  *http.Client
+}
+
+// NewForwarder returns a Forwarder with the VMs' shared secret.
+func NewForwarder(token string) *Forwarder {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Protocols:          protocols,
+		DisableCompression: true,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second},
+	}
+	return &Forwarder{token: token, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (f *Forwarder) Close() { f.http.CloseIdleConnections() }
+
+// Forward makes the attempt through the VM at the address.
+func (f *Forwarder) Forward(ctx context.Context, address string, attempt Attempt) (*backend.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	req, err := f.newRequest(ctx, address, attempt)
+	if err != nil {
+		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "bad-request", Err: err}
+	}
+	resp, err := f.http.Do(req)
+	if err != nil && !connected.Load() {
+		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "gate-unreachable", Err: err}
+	}
+	if err != nil {
+		return nil, &backend.Failure{Kind: outcome.Unknown, Reason: "gate-lost", Err: err}
+	}
+	if failure := readFailure(resp); failure != nil {
+		_ = resp.Body.Close()
+		return nil, failure
+	}
+	return &backend.Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Instance: resp.Header.Get(backend.HeaderInstance)}, nil
+}
+
+func (f *Forwarder) newRequest(ctx context.Context, address string, attempt Attempt) (*http.Request, error) {
+	meta, err := cbor.Marshal(attempt)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode attempt")
+	}
+	req, err := http.NewRequestWithContext(ctx, attempt.Method, "http://"+address+ForwardPath+attempt.Target, bytes.NewReader(attempt.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.Header = attempt.Header.Clone()
+	req.Header.Set(headerForward, base64.StdEncoding.EncodeToString(meta))
+	if f.token != "" {
+		req.Header.Set(tokenHeader, f.token)
+	}
+	return req, nil
+}
+
+func readFailure(resp *http.Response) *backend.Failure {
+	encoded := resp.Header.Get(headerFailure)
+	if encoded == "" && resp.Header.Get(headerForward) != "" {
+		return nil
+	}
+	var wire wireFailure
+	data, err := base64.StdEncoding.DecodeString(encoded)
+	if err == nil {
+		err = decodeMode.Unmarshal(data, &wire)
+	}
+	if err != nil {
+		return &backend.Failure{Kind: outcome.Unknown, Reason: "gate-answer", Err: errors.Wrapf(err, "status %d", resp.StatusCode)}
+	}
+	return &backend.Failure{
+		Kind:       wire.Kind,
+		Reason:     wire.Reason,
+		Instance:   wire.Instance,
+		RetryAfter: time.Duration(wire.RetryAfterMs) * time.Millisecond,
+	}
+}
+
+// ForwardHandler answers forwarded requests through the sender.
+func ForwardHandler(token string, sender Sender) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if token != "" && !authorized(token, r) {
+			http.Error(w, "the peer token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		attempt, err := readAttempt(w, r)
+		if err != nil {
+			writeFailure(w, &backend.Failure{Kind: outcome.NotRun, Reason: "malformed-forward"})
+			return
+		}
+		ctx, stop := context.WithDeadline(r.Context(), attempt.Deadline())
+		defer stop()
+		resp, err := sender.Send(ctx, attempt)
+		if err != nil {
+			writeFailure(w, err.(*backend.Failure))
+			return
+		}
+		copyResponse(w, resp)
+	})
+}
+
+func readAttempt(w http.ResponseWriter, r *http.Request) (Attempt, error) {
+	var attempt Attempt
+	data, err := base64.StdEncoding.DecodeString(r.Header.Get(headerForward))
+	if err != nil {
+		return attempt, errors.Wrap(err, "decode header")
+	}
+	if err := decodeMode.Unmarshal(data, &attempt); err != nil {
+		return attempt, errors.Wrap(err, "decode attempt")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardBody))
+	if err != nil {
+		return attempt, errors.Wrap(err, "read body")
+	}
+	r.Header.Del(headerForward)
+	r.Header.Del(tokenHeader)
+	attempt.Method = r.Method
+	attempt.Target = r.URL.RequestURI()[len(ForwardPath):]
+	attempt.Header = r.Header
+	attempt.Body = body
+	return attempt, nil
+}
+
+func writeFailure(w http.ResponseWriter, failure *backend.Failure) {
+	data, err := cbor.Marshal(wireFailure{
+		Kind:         failure.Kind,
+		Reason:       failure.Reason,
+		Instance:     failure.Instance,
+		RetryAfterMs: failure.RetryAfter.Milliseconds(),
+	})
+	if err != nil {
+		panic(err) // the struct holds only strings and numbers
+	}
+	w.Header().Set(headerFailure, base64.StdEncoding.EncodeToString(data))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// copyResponse streams the answer. A cut answer resets the stream, so that the
+// other VM sees it as cut too.
+func copyResponse(w http.ResponseWriter, resp *backend.Response) {
+	defer func() { _ = resp.Body.Close() }()
+	header := w.Header()
+	httpheader.RemoveHopByHop(resp.Header)
+	for name, values := range resp.Header {
+		header[name] = values
+	}
+	header.Set(headerForward, "1")
+	w.WriteHeader(resp.Status)
+	if err := Stream(w, resp.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// streamBuffer is the unit in which answers are copied, in bytes.
+const streamBuffer = 32 << 10
+
+// Stream copies an answer and flushes after each read, so that a slow stream
+// reaches the caller as it comes.
+func Stream(w http.ResponseWriter, body io.Reader) error {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return errors.Wrap(writeErr, "write")
+			}
+			if flushErr := controller.Flush(); flushErr != nil {
+				return errors.Wrap(flushErr, "flush")
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read")
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+)
+
+// ControlPath is the path of the WebSocket on the peer listener.
+const ControlPath = "/peer/v1/control"
+
+// tokenHeader carries the shared secret of the VMs.
+const tokenHeader = "Fireflyfield-Peer-Token"
+
+// maxConcurrentCalls bounds the calls that one connection has in progress.
+const maxConcurrentCalls = 256
+
+// callHandler decodes, runs and answers one call.
+type callHandler struct {
+	limit int
+	serve func(ctx context.Context, from Identity, body cbor.RawMessage) (any, error)
+}
+
+// Server answers control messages of other VMs.
+type Server struct {
+	identity Identity
+	token    string
+	logger   *zap.Logger
+
+	mu       sync.RWMutex
+	handlers map[MessageType]callHandler
+}
+
+// NewServer returns a server without handlers. An empty token accepts every VM.
+func NewServer(identity Identity, token string, logger *zap.Logger) *Server {
+	return &Server{identity: identity, token: token, logger: logger, handlers: make(map[MessageType]callHandler)}
+}
+
+// Handle registers the handler of one message type with a size limit in bytes.
+func Handle[Call, Reply any](s *Server, kind MessageType, limit int, serve func(context.Context, Identity, Call) (Reply, error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[kind] = callHandler{limit: limit, serve: func(ctx context.Context, from Identity, body cbor.RawMessage) (any, error) {
+		var call Call
+		if err := decodeMode.Unmarshal(body, &call); err != nil {
+			return nil, &RemoteError{Code: CodeMalformed, Detail: err.Error()}
+		}
+		return serve(ctx, from, call)
+	}}
+}
+
+// authorized compares the shared secret in constant time.
+func authorized(token string, r *http.Request) bool {
+	return subtle.ConstantTimeCompare([]byte(token), []byte(r.Header.Get(tokenHeader))) == 1
+}
+
+// ServeHTTP upgrades the connection and answers calls until it closes.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.token != "" && !authorized(s.token, r) {
+		http.Error(w, "the peer token is missing or wrong", http.StatusUnauthorized)
+		return
+	}
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has answered
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(maxMessageBytes)
+	from, ok := s.handshake(r.Context(), conn)
+	if !ok {
+		return
+	}
+	s.serveConn(r.Context(), conn, from)
+}
+
+// handshake exchanges identities; the calling side sends first.
+func (s *Server) handshake(ctx context.Context, conn *websocket.Conn) (Identity, bool) {
+	var from Identity
+	if err := readCBOR(ctx, conn, &from); err != nil {
+		return Identity{}, false
+	}
+	if err := writeCBOR(ctx, conn, s.identity); err != nil {
+		return Identity{}, false
+	}
+	if from.Version != Version {
+		_ = conn.Close(websocket.StatusPolicyViolation, "unsupported protocol version")
+		s.logger.Warn("refused a VM with another protocol version", zap.String("vm", from.VM), zap.Int("version", from.Version))
+		return Identity{}, false
+	}
+	return from, true
+}
+
+func (s *Server) serveConn(ctx context.Context, conn *websocket.Conn, from Identity) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	slots := make(chan struct{}, maxConcurrentCalls)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer stop()
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		message, err := decode(data)
+		if err != nil || message.Direction != directionCall {
+			s.reply(ctx, conn, message, &RemoteError{Code: CodeMalformed, Detail: "not a call"})
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			s.answer(ctx, conn, from, message)
+		})
+	}
+}
+
+func (s *Server) answer(ctx context.Context, conn *websocket.Conn, from Identity, message envelope) {
+	s.mu.RLock()
+	handler, ok := s.handlers[message.Type]
+	s.mu.RUnlock()
+	if !ok {
+		s.reply(ctx, conn, message, &RemoteError{Code: CodeUnknownType, Detail: "unknown message type"})
+		return
+	}
+	if len(message.Body) > handler.limit {
+		s.reply(ctx, conn, message, &RemoteError{Code: CodeTooLarge, Detail: "message exceeds the limit of its type"})
+		return
+	}
+	reply, err := handler.serve(ctx, from, message.Body)
+	if err != nil {
+		s.reply(ctx, conn, message, err)
+		return
+	}
+	s.send(ctx, conn, message, directionReply, reply)
+}
+
+func (s *Server) reply(ctx context.Context, conn *websocket.Conn, to envelope, err error) {
+	remote, ok := err.(*RemoteError)
+	if !ok {
+		remote = &RemoteError{Code: CodeFailed, Detail: err.Error()}
+	}
+	s.send(ctx, conn, to, directionError, remote)
+}
+
+func (s *Server) send(ctx context.Context, conn *websocket.Conn, to envelope, dir direction, body any) {
+	data, err := encode(to.Type, to.ID, dir, body)
+	if err != nil {
+		s.logger.Error("answer to a VM could not be encoded", zap.Error(err))
+		return
+	}
+	_ = conn.Write(ctx, websocket.MessageBinary, data) // a broken connection ends the read loop
+}
+
+func readCBOR(ctx context.Context, conn *websocket.Conn, into any) error {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return err
+	}
+	return decodeMode.Unmarshal(data, into)
+}
+
+func writeCBOR(ctx context.Context, conn *websocket.Conn, value any) error {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
