--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,266 @@
+// Package gate sends requests to the backend servers whose gate this VM is. Every
+// request to a backend server passes through its one gate, which counts what the
+// backend server bears.
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fireflyfield/internal/admission"
+	"fireflyfield/internal/backend"
+	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/peer"
+	"fireflyfield/internal/resource"
+)
+
+// ServerID names a backend server.
+type ServerID struct {
+	Service string
+	Name    string
+}
+
+// Owner is what the gate's own VM knows of the owner of a key.
+type Owner struct {
+	Server string
+	Unit   uint64
+	Fence  backend.Fence
+}
+
+// Owners resolves the owner of a key. The second result is false while nobody
+// owns it.
+type Owners interface {
+	OwnerOf(service string, keyHash uint64) (Owner, bool)
+}
+
+// Clock reads the monotonic clock.
+type Clock func() time.Time
+
+// Set holds the gates of this VM. It is safe for concurrent use.
+type Set struct {
+	owners Owners
+	now    Clock
+
+	mu    sync.RWMutex
+	gates map[ServerID]*entry
+}
+
+// entry is one backend server. Its fields do not change after it was made.
+type entry struct {
+	address string
+	slots   int
+	gate    *admission.Gate
+	client  *backend.Client
+}
+
+// NewSet returns a set without gates.
+func NewSet(owners Owners, now Clock) *Set {
+	return &Set{owners: owners, now: now, gates: make(map[ServerID]*entry)}
+}
+
+// Server is a backend server with what its gate has to know.
+type Server struct {
+	ID      ServerID
+	Address string
+	Spec    *resource.ServiceSpec
+	// Takeover is set if another VM was the gate before.
+	Takeover *admission.Takeover
+}
+
+// Open makes this VM the gate of the backend server until the lease expires; for
+// one that is open already it renews the lease.
+func (s *Set) Open(server Server, expires time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	existing, ok := s.gates[server.ID]
+	if ok && existing.address == server.Address && existing.slots == server.Spec.Slots {
+		existing.gate.Renew(expires)
+		return nil
+	}
+	if ok {
+		existing.stop()
+	}
+	created, err := newEntry(server, s.now)
+	if err != nil {
+		return err
+	}
+	created.gate.Renew(expires)
+	s.gates[server.ID] = created
+	return nil
+}
+
+func newEntry(server Server, now Clock) (*entry, error) {
+	spec := server.Spec
+	gate, err := admission.New(admission.Config{
+		Slots:              spec.Slots,
+		LongestDeadline:    spec.Timeout.Std(),
+		ServesWithoutLease: spec.ChecksGrants || !spec.Keyed(),
+		Takeover:           server.Takeover,
+		Now:                now,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &entry{
+		address: server.Address,
+		slots:   spec.Slots,
+		gate:    gate,
+		client:  backend.NewClient(server.Address, spec.Connections),
+	}, nil
+}
+
+// stop refuses new requests and closes the connections once those in flight ended.
+func (e *entry) stop() {
+	drained := e.gate.Drain()
+	go func() {
+		<-drained
+		e.client.Close()
+	}()
+}
+
+// Close gives up the gate. The channel is closed when no request of this gate is
+// in flight any more.
+func (s *Set) Close(id ServerID) (<-chan struct{}, admission.Handover) {
+	s.mu.Lock()
+	existing, ok := s.gates[id]
+	delete(s.gates, id)
+	s.mu.Unlock()
+	if !ok {
+		done := make(chan struct{})
+		close(done)
+		return done, admission.Handover{}
+	}
+	existing.stop()
+	return existing.gate.Drain(), existing.gate.Handover()
+}
+
+// Gate returns the gate of the backend server, if this VM has it.
+func (s *Set) Gate(id ServerID) (*admission.Gate, bool) {
+	existing, ok := s.lookup(id)
+	if !ok {
+		return nil, false
+	}
+	return existing.gate, true
+}
+
+// IDs returns the backend servers whose gate this VM is.
+func (s *Set) IDs() []ServerID {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	ids := make([]ServerID, 0, len(s.gates))
+	for id := range s.gates {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (s *Set) lookup(id ServerID) (*entry, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	existing, ok := s.gates[id]
+	return existing, ok
+}
+
+var _ peer.Sender = (*Set)(nil)
+
+// Send implements peer.Sender: it waits for a slot and makes the attempt.
+func (s *Set) Send(ctx context.Context, attempt peer.Attempt) (*backend.Response, error) {
+	existing, ok := s.lookup(ServerID{attempt.Service, attempt.Server})
+	if !ok {
+		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "not-gate"}
+	}
+	ticket, refusal := existing.gate.Admit(ctx, attempt.Workspace, attempt.Deadline())
+	if refusal.Refused() {
+		return nil, refused(refusal)
+	}
+	owner, ok := s.owner(attempt)
+	if !ok {
+		ticket.Done(admission.Observation{Result: admission.Abandoned})
+		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "moved"}
+	}
+	if refusal := ticket.MaySend(); refusal.Refused() {
+		ticket.Done(admission.Observation{Result: admission.Abandoned})
+		return nil, refused(refusal)
+	}
+	return existing.send(ctx, attempt, owner, ticket, s.now)
+}
+
+// owner returns the token to send. It is read after the wait for a slot, because
+// the owner may have changed meanwhile.
+func (s *Set) owner(attempt peer.Attempt) (Owner, bool) {
+	if !attempt.Keyed {
+		return Owner{Server: attempt.Server}, true
+	}
+	owner, ok := s.owners.OwnerOf(attempt.Service, attempt.KeyHash)
+	return owner, ok && owner.Server == attempt.Server
+}
+
+func (e *entry) send(ctx context.Context, attempt peer.Attempt, owner Owner, ticket admission.Ticket, now Clock) (*backend.Response, error) {
+	start := now()
+	resp, err := e.client.Send(ctx, backend.Request{
+		ID:         attempt.RequestID,
+		Workspace:  attempt.Workspace,
+		Method:     attempt.Method,
+		Target:     attempt.Target,
+		Header:     attempt.Header,
+		Body:       attempt.Body,
+		Deadline:   attempt.Deadline(),
+		Idempotent: attempt.Idempotent,
+		Keyed:      attempt.Keyed,
+		Unit:       owner.Unit,
+		Fence:      owner.Fence,
+	})
+	if err != nil {
+		failure := err.(*backend.Failure)
+		ticket.Done(admission.Observation{Result: resultOf(ctx, failure), Instance: failure.Instance, Latency: now().Sub(start)})
+		return nil, failure
+	}
+	resp.Body = &observedBody{body: resp.Body, ctx: ctx, ticket: ticket, instance: resp.Instance, start: start, now: now}
+	return resp, nil
+}
+
+// resultOf says what a failed attempt shows of the backend server.
+func resultOf(ctx context.Context, failure *backend.Failure) admission.Result {
+	switch failure.Reason {
+	case backend.ReasonShed:
+		return admission.Shed
+	case backend.ReasonDraining:
+		return admission.RefusedDraining
+	case backend.ReasonFence:
+		return admission.RefusedFence
+	}
+	switch {
+	case failure.Refused:
+		return admission.ConnectionRefused
+	case ctx.Err() == context.DeadlineExceeded:
+		return admission.TimedOut
+	case ctx.Err() != nil || failure.Kind == outcome.NotRun:
+		return admission.Abandoned
+	default:
+		return admission.ConnectionReset
+	}
+}
+
+func refused(refusal admission.Refusal) *backend.Failure {
+	return &backend.Failure{Kind: outcome.NotRun, Reason: refusalWord(refusal.Reason), RetryAfter: refusal.RetryAfter}
+}
+
+func refusalWord(reason admission.Reason) string {
+	switch reason {
+	case admission.DeadlineTooClose:
+		return "deadline-too-close"
+	case admission.QueueFull:
+		return "queue-full"
+	case admission.NotGate, admission.Draining:
+		return "not-gate"
+	case admission.NoLease:
+		return "no-lease"
+	case admission.Leaving:
+		return "leaving"
+	case admission.Cancelled:
+		return "cancelled"
+	default:
+		return "overloaded"
+	}
+}
--- /dev/null
+++ b/internal/vm/fleet.go
@@ -0,0 +1,116 @@
+package vm
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/platform"
+)
+
+// listInterval is the time between two reads of the platform's VM list.
+const listInterval = time.Second
+
+// vmLister reads the platform's list.
+type vmLister interface {
+	VMs(ctx context.Context) ([]platform.VM, error)
+}
+
+// fleet is the last known list of VMs. An entry stays known while the platform
+// does not answer.
+type fleet struct {
+	mu      sync.RWMutex
+	vms     map[string]platform.VM
+	changed chan struct{}
+}
+
+func newFleet() *fleet {
+	return &fleet{vms: make(map[string]platform.VM), changed: make(chan struct{})}
+}
+
+// follow reads the list until the context ends.
+func (f *fleet) follow(ctx context.Context, lister vmLister, logger *zap.Logger) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	available := true
+	for {
+		list, err := lister.VMs(ctx)
+		if err == nil {
+			f.set(list)
+		}
+		if ctx.Err() == nil && (err == nil) != available {
+			available = err == nil
+			logger.Info("platform's VM list", zap.Bool("available", available))
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *fleet) set(list []platform.VM) {
+	next := make(map[string]platform.VM, len(list))
+	for _, vm := range list {
+		next[vm.Name] = vm
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if maps.Equal(f.vms, next) {
+		return
+	}
+	f.vms = next
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// changes returns a channel that is closed at the next change.
+func (f *fleet) changes() <-chan struct{} {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.changed
+}
+
+func (f *fleet) lookup(name string) (platform.VM, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	vm, ok := f.vms[name]
+	return vm, ok
+}
+
+// inDomain returns the VMs of the failure domain, sorted by name.
+func (f *fleet) inDomain(domain string) []platform.VM {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var found []platform.VM
+	for _, vm := range f.vms {
+		if vm.FailureDomain == domain {
+			found = append(found, vm)
+		}
+	}
+	slices.SortFunc(found, compareVMs)
+	return found
+}
+
+// all returns every VM, sorted by name.
+func (f *fleet) all() []platform.VM {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(f.vms), compareVMs)
+}
+
+func compareVMs(a, b platform.VM) int {
+	switch {
+	case a.Name < b.Name:
+		return -1
+	case a.Name > b.Name:
+		return 1
+	default:
+		return 0
+	}
+}
