--- /dev/null
+++ b/internal/keyspace/exceptions.go
@@ -0,0 +1,57 @@
+package keyspace
+
+import (
+	"maps"
+	"slices"
+)
+
+// MaxHotKeys is the largest number of hot keys of one service in one failure domain.
+const MaxHotKeys = 1024
+
+// Exceptions is the set of hot keys that have their own unit. The zero value is
+// empty and ready to use. It is not safe for concurrent use.
+type Exceptions struct {
+	units map[Unit]struct{}
+}
+
+// Add inserts a hot key and reports whether it is in the set afterwards; it is
+// not when the unit is a slice or the set is full.
+func (e *Exceptions) Add(unit Unit) bool {
+	if !unit.IsHot() {
+		return false
+	}
+	if e.Has(unit) {
+		return true
+	}
+	if len(e.units) >= MaxHotKeys {
+		return false
+	}
+	if e.units == nil {
+		e.units = make(map[Unit]struct{})
+	}
+	e.units[unit] = struct{}{}
+	return true
+}
+
+// Remove deletes a hot key.
+func (e *Exceptions) Remove(unit Unit) { delete(e.units, unit) }
+
+// Has reports whether the hot key is in the set.
+func (e *Exceptions) Has(unit Unit) bool {
+	_, found := e.units[unit]
+	return found
+}
+
+// Len returns the number of hot keys.
+func (e *Exceptions) Len() int { return len(e.units) }
+
+// Units returns the hot keys in ascending order.
+func (e *Exceptions) Units() []Unit { return slices.Sorted(maps.Keys(e.units)) }
+
+// Resolve returns the unit of the hash: its hot key if that is in the set, else its slice.
+func (e *Exceptions) Resolve(hash Hash, slices int) Unit {
+	if hot := hash.Hot(); e.Has(hot) {
+		return hot
+	}
+	return hash.Slice(slices)
+}
--- /dev/null
+++ b/internal/keyspace/keyspace.go
@@ -0,0 +1,54 @@
+// Package keyspace maps keys to units of ownership: slices of a service's hashed
+// key space and single hot keys.
+package keyspace
+
+import "github.com/cespare/xxhash/v2"
+
+const hotBit = uint64(1) << 63
+
+// Unit identifies a slice or a hot key within one service. A slice is its number;
+// a hot key is 2^63 plus the lower 63 bits of its hash.
+type Unit uint64
+
+// Hash is the lower 63 bits of the hash of a service and key. The slice is derived
+// from the same 63 bits as the hot key unit, so that two keys which share a hot
+// key unit are always in the same slice, whatever the number of slices is.
+type Hash uint64
+
+// HashKey returns the hash of the key within the service.
+func HashKey(service, key string) Hash {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(service)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(key)
+	return Hash(digest.Sum64() &^ hotBit)
+}
+
+// Slice returns the slice of the hash; slices must be positive.
+func (h Hash) Slice(slices int) Unit {
+	return Unit(uint64(h) % uint64(slices))
+}
+
+// Hot returns the unit that the key of this hash has while it is a hot key.
+func (h Hash) Hot() Unit {
+	return Unit(uint64(h) | hotBit)
+}
+
+// Slice returns the slice of the key in a service with the number of slices.
+func Slice(service, key string, slices int) Unit {
+	return HashKey(service, key).Slice(slices)
+}
+
+// IsHot reports whether the unit is a hot key.
+func (u Unit) IsHot() bool {
+	return uint64(u)&hotBit != 0
+}
+
+// Parent returns the slice that contains the unit; a slice is its own parent.
+func (u Unit) Parent(slices int) Unit {
+	if !u.IsHot() {
+		return u
+	}
+	return Hash(uint64(u) &^ hotBit).Slice(slices)
+}
--- /dev/null
+++ b/internal/keyspace/keyspace_test.go
@@ -0,0 +1,69 @@
+package keyspace
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against two keys that share a hot key unit but lie in different slices:
+// one of them would then have two owners. With the slice taken from all 64 bits
+// this fails for numbers of slices that are not powers of two.
+func TestHotUnitDeterminesSlice(t *testing.T) {
+	is := is.New(t)
+	for _, slices := range []int{1, 7, 256, 1000, 65536} {
+		for i := range 1000 {
+			hash := HashKey("entretien", fmt.Sprint(i))
+			is.Equal(hash.Hot().Parent(slices), hash.Slice(slices))
+			is.True(hash.Hot().IsHot())
+			is.True(!hash.Slice(slices).IsHot())
+		}
+	}
+}
+
+// Guards against a service and key whose concatenation is ambiguous.
+func TestServiceAndKeyAreSeparated(t *testing.T) {
+	is := is.New(t)
+	is.True(HashKey("ab", "c") != HashKey("a", "bc"))
+}
+
+// Guards against an exception table that grows without bound.
+func TestExceptionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var table Exceptions
+	for i := range MaxHotKeys {
+		is.True(table.Add(Hash(i).Hot()))
+	}
+	is.True(!table.Add(Hash(MaxHotKeys).Hot()))
+	is.True(!table.Add(Unit(3)))
+	is.Equal(table.Resolve(Hash(5), 4), Hash(5).Hot())
+	table.Remove(Hash(5).Hot())
+	is.Equal(table.Resolve(Hash(5), 4), Unit(1))
+}
+
+// Guards against hot keys that are missed among many rare ones, and against hot
+// keys of the past that are reported for ever.
+func TestDetectorFollowsChange(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	detector := NewDetector(256, time.Second)
+	observe := func(hot int) {
+		for range 20_000 {
+			key := fmt.Sprint("cold", random.IntN(100_000))
+			if random.IntN(10) == 0 {
+				key = fmt.Sprint("hot", hot)
+			}
+			detector.Observe(HashKey("s", key), 1)
+		}
+	}
+	observe(1)
+	is.Equal(detector.Top(1, 1000)[0].Unit, HashKey("s", "hot1").Hot())
+	detector.Decay(10 * time.Second)
+	is.Equal(len(detector.Top(10, 1000)), 0)
+	observe(2)
+	is.Equal(detector.Top(1, 1000)[0].Unit, HashKey("s", "hot2").Hot())
+	is.Equal(len(detector.index), 256)
+}
--- /dev/null
+++ b/internal/ownership/homes.go
@@ -0,0 +1,82 @@
+package ownership
+
+import (
+	"slices"
+
+	"fireflyfield/internal/keyspace"
+)
+
+// SliceHome is the failure domain that owns a slice. Epochs start at 1.
+type SliceHome struct {
+	Domain string `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+}
+
+// Homes is the replay of the homes stream. It is not safe for concurrent use.
+type Homes struct {
+	// Next is the offset of the first record that was not applied yet.
+	Next     uint64                 `cbor:"1,keyasint"`
+	Services map[string][]SliceHome `cbor:"2,keyasint"`
+}
+
+// NewHomes returns the state before the first record.
+func NewHomes() *Homes {
+	return &Homes{Next: 1, Services: make(map[string][]SliceHome)}
+}
+
+// Apply replays the record at the offset and reports whether it was accepted.
+// Homes needs no record identifiers: a repeated record finds a raised epoch.
+func (h *Homes) Apply(offset uint64, record Record) bool {
+	if offset < h.Next {
+		return false
+	}
+	h.Next = offset + 1
+	switch {
+	case record.Init != nil:
+		return h.applyInit(record.Init)
+	case record.Home != nil:
+		return h.applyHome(record.Home)
+	}
+	return false
+}
+
+// Skip passes over a record that could not be decoded.
+func (h *Homes) Skip(offset uint64) { h.Next = max(h.Next, offset+1) }
+
+func (h *Homes) applyInit(init *Init) bool {
+	if _, found := h.Services[init.Service]; found {
+		return false
+	}
+	homes := make([]SliceHome, init.Slices)
+	for i := range homes {
+		homes[i] = SliceHome{Domain: init.Domains[i%len(init.Domains)], Epoch: 1}
+	}
+	h.Services[init.Service] = homes
+	return true
+}
+
+func (h *Homes) applyHome(move *Home) bool {
+	// A new array keeps the arrays that readers took from Services unchanged.
+	homes := slices.Clone(h.Services[move.Service])
+	accepted := false
+	for _, slice := range move.Slices {
+		if uint64(slice) >= uint64(len(homes)) || homes[slice].Epoch != move.Epoch {
+			continue
+		}
+		homes[slice] = SliceHome{Domain: move.To, Epoch: move.Epoch + 1}
+		accepted = true
+	}
+	if accepted {
+		h.Services[move.Service] = homes
+	}
+	return accepted
+}
+
+// Home returns the home of the slice; the zero value if it has none.
+func (h *Homes) Home(service string, slice keyspace.Unit) SliceHome {
+	homes := h.Services[service]
+	if uint64(slice) >= uint64(len(homes)) {
+		return SliceHome{}
+	}
+	return homes[slice]
+}
--- /dev/null
+++ b/internal/ownership/record.go
@@ -0,0 +1,182 @@
+// Package ownership decides which backend server owns each key: the records of
+// the domain and homes streams, their replay, the table that routers read, and
+// the state machine of one VM in its failure domain.
+package ownership
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"fireflyfield/internal/keyspace"
+)
+
+// Limits of one record.
+const (
+	// MaxRecordBytes bounds an encoded record and, with MaxRecordUnits, the memory
+	// that decoding takes.
+	MaxRecordBytes = 64 << 10
+	// MaxRecordUnits bounds each list in a record. A CBOR unit takes at most 9
+	// bytes, so a full assign record stays below MaxRecordBytes.
+	MaxRecordUnits = 4096
+	// MaxNameBytes bounds the names of VMs, services, domains and backend servers.
+	MaxNameBytes = 256
+)
+
+// RecordID identifies a record; replay drops a record whose identifier it has seen.
+type RecordID [16]byte
+
+// Record is one record of a domain stream or of the homes stream. Exactly one of
+// the pointers is set.
+type Record struct {
+	ID          RecordID     `cbor:"1,keyasint"`
+	Claim       *Claim       `cbor:"2,keyasint,omitempty"`
+	Join        *Join        `cbor:"3,keyasint,omitempty"`
+	Admit       *Admit       `cbor:"4,keyasint,omitempty"`
+	Remove      *Remove      `cbor:"5,keyasint,omitempty"`
+	MemberEpoch *MemberEpoch `cbor:"6,keyasint,omitempty"`
+	Assign      *Assign      `cbor:"7,keyasint,omitempty"`
+	Release     *Release     `cbor:"8,keyasint,omitempty"`
+	Handoff     *Handoff     `cbor:"9,keyasint,omitempty"`
+	Hot         *Hot         `cbor:"10,keyasint,omitempty"`
+	Init        *Init        `cbor:"11,keyasint,omitempty"`
+	Home        *Home        `cbor:"12,keyasint,omitempty"`
+}
+
+// Member is one process of a VM. A restarted VM has another instance, because it
+// has forgotten its promises, and is therefore another member.
+type Member struct {
+	VM       string `cbor:"1,keyasint"`
+	Instance string `cbor:"2,keyasint"`
+}
+
+// Claim asks for the decider role. It is accepted if Previous is the current term
+// and the claimant is a member, or the domain has no members.
+type Claim struct {
+	Member   Member `cbor:"1,keyasint"`
+	Previous Term   `cbor:"2,keyasint"`
+}
+
+// Join asks the decider to admit a member.
+type Join struct {
+	Member Member `cbor:"1,keyasint"`
+}
+
+// Admit makes a process that joined a member. It replaces another instance of the VM.
+type Admit struct {
+	Term   Term   `cbor:"1,keyasint"`
+	Member Member `cbor:"2,keyasint"`
+}
+
+// Remove ends a membership.
+type Remove struct {
+	Term   Term   `cbor:"1,keyasint"`
+	Member Member `cbor:"2,keyasint"`
+}
+
+// MemberEpoch empties the set of members; only a higher epoch has an effect.
+type MemberEpoch struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+}
+
+// Assign gives units to one backend server under the token (Term, Counter).
+type Assign struct {
+	Term    Term            `cbor:"1,keyasint"`
+	Service string          `cbor:"2,keyasint"`
+	Server  string          `cbor:"3,keyasint"`
+	Counter uint64          `cbor:"4,keyasint"`
+	Units   []keyspace.Unit `cbor:"5,keyasint"`
+}
+
+// Release gives slices up for another failure domain. It is final: no later
+// decider assigns a slice whose home epoch is not above Epoch.
+type Release struct {
+	Term    Term            `cbor:"1,keyasint"`
+	Service string          `cbor:"2,keyasint"`
+	To      string          `cbor:"3,keyasint"`
+	Epoch   uint64          `cbor:"4,keyasint"`
+	Slices  []keyspace.Unit `cbor:"5,keyasint"`
+}
+
+// Handoff makes another member the decider.
+type Handoff struct {
+	Term Term   `cbor:"1,keyasint"`
+	To   Member `cbor:"2,keyasint"`
+}
+
+// Hot adds hot keys to the exception table of a service or merges them back.
+type Hot struct {
+	Term    Term            `cbor:"1,keyasint"`
+	Service string          `cbor:"2,keyasint"`
+	Split   []keyspace.Unit `cbor:"3,keyasint,omitempty"`
+	Merge   []keyspace.Unit `cbor:"4,keyasint,omitempty"`
+}
+
+// Init assigns the slices of a service to failure domains for the first time.
+// Slice i belongs to Domains[i mod len(Domains)]; a domain may be listed more than
+// once to get a larger part.
+type Init struct {
+	Service string   `cbor:"1,keyasint"`
+	Slices  uint32   `cbor:"2,keyasint"`
+	Domains []string `cbor:"3,keyasint"`
+}
+
+// Home moves slices to another failure domain. It is accepted per slice if Epoch
+// is the current home epoch, which it raises by one.
+type Home struct {
+	Service string          `cbor:"1,keyasint"`
+	To      string          `cbor:"2,keyasint"`
+	Epoch   uint64          `cbor:"3,keyasint"`
+	Slices  []keyspace.Unit `cbor:"4,keyasint"`
+}
+
+// ErrRecord is the class of every decoding error.
+var ErrRecord = errors.New("invalid ownership record")
+
+var (
+	recordEncoding = must(cbor.CoreDetEncOptions().EncMode())
+	recordDecoding = must(cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: MaxRecordUnits,
+		MaxMapPairs:      16,
+		MaxNestedLevels:  8,
+	}.DecMode())
+)
+
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the CBOR form of the record.
+func (r Record) Encode() ([]byte, error) {
+	if err := r.validate(); err != nil {
+		return nil, err
+	}
+	data, err := recordEncoding.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode ownership record")
+	}
+	if len(data) > MaxRecordBytes {
+		return nil, errors.Wrapf(ErrRecord, "%d bytes, limit %d", len(data), MaxRecordBytes)
+	}
+	return data, nil
+}
+
+// DecodeRecord parses and validates one record.
+func DecodeRecord(data []byte) (Record, error) {
+	if len(data) > MaxRecordBytes {
+		return Record{}, errors.Wrapf(ErrRecord, "%d bytes, limit %d", len(data), MaxRecordBytes)
+	}
+	var record Record
+	if err := recordDecoding.Unmarshal(data, &record); err != nil {
+		return Record{}, errors.Wrapf(ErrRecord, "%v", err)
+	}
+	if err := record.validate(); err != nil {
+		return Record{}, err
+	}
+	return record, nil
+}
--- /dev/null
+++ b/internal/ownership/state.go
@@ -0,0 +1,236 @@
+package ownership
+
+import (
+	"fireflyfield/internal/keyspace"
+)
+
+// maxSeenRecords is the number of record identifiers kept to drop duplicates. An
+// append that is repeated after more records than this changes nothing, because
+// its term has ended or its effect is the same twice.
+const maxSeenRecords = 4096
+
+// Assignment is the recorded owner of one unit.
+type Assignment struct {
+	Server string `cbor:"1,keyasint"`
+	Token  Token  `cbor:"2,keyasint"`
+}
+
+// ServiceState is what a domain stream says about one service.
+type ServiceState struct {
+	Units map[keyspace.Unit]Assignment `cbor:"1,keyasint"`
+	// Released maps a slice to the highest home epoch at which it was released.
+	Released map[keyspace.Unit]uint64 `cbor:"2,keyasint"`
+	// Hot holds the hot keys of the exception table.
+	Hot map[keyspace.Unit]bool `cbor:"3,keyasint"`
+}
+
+// State is the replay of one domain stream. It is not safe for concurrent use.
+type State struct {
+	// Next is the offset of the first record that was not applied yet.
+	Next    uint64            `cbor:"1,keyasint"`
+	Term    Term              `cbor:"2,keyasint"`
+	Decider Member            `cbor:"3,keyasint"`
+	Members map[string]string `cbor:"4,keyasint"`
+	// Joins holds the processes that asked to be admitted, by VM.
+	Joins       map[string]string        `cbor:"5,keyasint"`
+	MemberEpoch uint64                   `cbor:"6,keyasint"`
+	Services    map[string]*ServiceState `cbor:"7,keyasint"`
+	// Orphaned says that the current term began without members, so that its
+	// decider cannot know what the lost deciders granted last.
+	Orphaned bool       `cbor:"8,keyasint"`
+	Seen     []RecordID `cbor:"9,keyasint"`
+	seen     map[RecordID]bool
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		Next:     1,
+		Members:  make(map[string]string),
+		Joins:    make(map[string]string),
+		Services: make(map[string]*ServiceState),
+		seen:     make(map[RecordID]bool),
+	}
+}
+
+// IsMember reports whether this process of the VM is a member.
+func (s *State) IsMember(member Member) bool {
+	return member.Instance != "" && s.Members[member.VM] == member.Instance
+}
+
+// Service returns the state of the service, creating it when needed.
+func (s *State) Service(name string) *ServiceState {
+	service, found := s.Services[name]
+	if !found {
+		service = newServiceState()
+		s.Services[name] = service
+	}
+	return service
+}
+
+func newServiceState() *ServiceState {
+	return &ServiceState{
+		Units:    make(map[keyspace.Unit]Assignment),
+		Released: make(map[keyspace.Unit]uint64),
+		Hot:      make(map[keyspace.Unit]bool),
+	}
+}
+
+// Apply replays the record at the offset and reports whether it was accepted.
+// Every VM that replays the same stream reaches the same answer.
+func (s *State) Apply(offset uint64, record Record) bool {
+	if offset < s.Next {
+		return false
+	}
+	s.Next = offset + 1
+	if s.seen[record.ID] {
+		return false
+	}
+	s.remember(record.ID)
+	return s.apply(offset, record)
+}
+
+// Skip passes over a record that could not be decoded; every VM skips the same ones.
+func (s *State) Skip(offset uint64) { s.Next = max(s.Next, offset+1) }
+
+func (s *State) remember(id RecordID) {
+	if len(s.Seen) >= maxSeenRecords {
+		delete(s.seen, s.Seen[0])
+		s.Seen = append(s.Seen[:0], s.Seen[1:]...)
+	}
+	s.Seen = append(s.Seen, id)
+	s.seen[id] = true
+}
+
+func (s *State) apply(offset uint64, record Record) bool {
+	switch {
+	case record.Claim != nil:
+		return s.applyClaim(offset, record.Claim)
+	case record.Join != nil:
+		return s.applyJoin(record.Join)
+	case record.Admit != nil:
+		return s.applyAdmit(record.Admit)
+	case record.Remove != nil:
+		return s.applyRemove(record.Remove)
+	case record.MemberEpoch != nil:
+		return s.applyMemberEpoch(record.MemberEpoch)
+	case record.Assign != nil:
+		return s.applyAssign(record.Assign)
+	case record.Release != nil:
+		return s.applyRelease(record.Release)
+	case record.Handoff != nil:
+		return s.applyHandoff(offset, record.Handoff)
+	case record.Hot != nil:
+		return s.applyHot(record.Hot)
+	}
+	return false
+}
+
+func (s *State) applyClaim(offset uint64, claim *Claim) bool {
+	if claim.Previous != s.Term {
+		return false
+	}
+	orphaned := len(s.Members) == 0
+	if !orphaned && !s.IsMember(claim.Member) {
+		return false
+	}
+	s.Orphaned = orphaned
+	s.begin(offset, claim.Member)
+	return true
+}
+
+func (s *State) begin(offset uint64, decider Member) {
+	s.Term = TermAt(offset)
+	s.Decider = decider
+	s.Members[decider.VM] = decider.Instance
+	delete(s.Joins, decider.VM)
+}
+
+func (s *State) applyJoin(join *Join) bool {
+	if s.IsMember(join.Member) {
+		return false
+	}
+	s.Joins[join.Member.VM] = join.Member.Instance
+	return true
+}
+
+func (s *State) applyAdmit(admit *Admit) bool {
+	if admit.Term != s.Term || s.Joins[admit.Member.VM] != admit.Member.Instance {
+		return false
+	}
+	delete(s.Joins, admit.Member.VM)
+	s.Members[admit.Member.VM] = admit.Member.Instance
+	return true
+}
+
+func (s *State) applyRemove(remove *Remove) bool {
+	if remove.Term != s.Term || !s.IsMember(remove.Member) || remove.Member == s.Decider {
+		return false
+	}
+	delete(s.Members, remove.Member.VM)
+	return true
+}
+
+func (s *State) applyMemberEpoch(change *MemberEpoch) bool {
+	if change.Epoch <= s.MemberEpoch {
+		return false
+	}
+	s.MemberEpoch = change.Epoch
+	clear(s.Members)
+	return true
+}
+
+func (s *State) applyAssign(assign *Assign) bool {
+	if assign.Term != s.Term {
+		return false
+	}
+	service := s.Service(assign.Service)
+	token := Token{Term: assign.Term, Counter: assign.Counter}
+	for _, unit := range assign.Units {
+		if unit.IsHot() && !service.Hot[unit] {
+			continue
+		}
+		if service.Units[unit].Token.Compare(token) < 0 {
+			service.Units[unit] = Assignment{Server: assign.Server, Token: token}
+		}
+	}
+	return true
+}
+
+func (s *State) applyRelease(release *Release) bool {
+	if release.Term != s.Term {
+		return false
+	}
+	service := s.Service(release.Service)
+	for _, slice := range release.Slices {
+		service.Released[slice] = max(service.Released[slice], release.Epoch)
+		delete(service.Units, slice)
+	}
+	return true
+}
+
+func (s *State) applyHandoff(offset uint64, handoff *Handoff) bool {
+	if handoff.Term != s.Term || !s.IsMember(handoff.To) {
+		return false
+	}
+	s.Orphaned = false
+	s.begin(offset, handoff.To)
+	return true
+}
+
+func (s *State) applyHot(hot *Hot) bool {
+	if hot.Term != s.Term {
+		return false
+	}
+	service := s.Service(hot.Service)
+	for _, unit := range hot.Merge {
+		delete(service.Hot, unit)
+		delete(service.Units, unit)
+	}
+	for _, unit := range hot.Split {
+		if len(service.Hot) < keyspace.MaxHotKeys {
+			service.Hot[unit] = true
+		}
+	}
+	return true
+}
