--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -150,12 +150,16 @@
 
 // Lookup returns the owner of the key of the service.
 func (t *Table) Lookup(service, key string) Route {
+	return t.LookupHash(service, keyspace.HashKey(service, key))
+}
+
+// LookupHash returns the owner of the key with the hash.
+func (t *Table) LookupHash(service string, hash keyspace.Hash) Route {
 	view := t.current.Load()
 	homes := view.homes[service]
 	if len(homes) == 0 {
 		return Route{}
 	}
-	hash := keyspace.HashKey(service, key)
 	slice := hash.Slice(len(homes))
 	route := Route{Status: NoOwner, Unit: slice, Domain: homes[slice].Domain}
 	domain, found := view.domains[route.Domain]
--- /dev/null
+++ b/internal/vm/router.go
@@ -0,0 +1,89 @@
+package vm
+
+import (
+	"sync"
+	"time"
+
+	"fireflyfield/internal/backend"
+	"fireflyfield/internal/dispatch"
+	"fireflyfield/internal/gate"
+	"fireflyfield/internal/keyspace"
+	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/ownership"
+)
+
+// router chooses backend servers from the ownership table and, for services that
+// are not divided by key, through a load balancer for each service.
+type router struct {
+	table   *ownership.Table
+	senders *senders
+	unkeyed *balancers
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+var _ dispatch.Router = (*router)(nil)
+
+func newRouter(table *ownership.Table, senders *senders, unkeyed *balancers) *router {
+	return &router{table: table, senders: senders, unkeyed: unkeyed, changed: make(chan struct{})}
+}
+
+// notify announces that routes may have changed.
+func (r *router) notify() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Changed implements dispatch.Router.
+func (r *router) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Route implements dispatch.Router.
+func (r *router) Route(request *dispatch.Request, tried []string) (dispatch.Route, *outcome.Refusal) {
+	if request.Spec.Keyed() {
+		return r.routeByKey(request)
+	}
+	return r.unkeyed.route(request, tried)
+}
+
+func (r *router) routeByKey(request *dispatch.Request) (dispatch.Route, *outcome.Refusal) {
+	found := r.table.Lookup(request.Service, request.Key)
+	if found.Status != ownership.Owned || found.Gate == "" {
+		return dispatch.Route{}, dispatch.NoRoute("no-owner", "no backend server owns the key at the moment")
+	}
+	return dispatch.Route{
+		Server:  found.Server,
+		Keyed:   true,
+		Unit:    uint64(found.Unit),
+		Fence:   fenceOf(found.Token),
+		KeyHash: uint64(keyspace.HashKey(request.Service, request.Key)),
+		Gate:    r.senders.to(found.Gate),
+	}, nil
+}
+
+// Observe implements dispatch.Router.
+func (r *router) Observe(request *dispatch.Request, route dispatch.Route, took time.Duration, failure *backend.Failure) {
+	if !route.Keyed {
+		r.unkeyed.observe(request.Service, route.Server, took, failure)
+	}
+}
+
+func fenceOf(token ownership.Token) backend.Fence {
+	return backend.Fence{Term: uint64(token.Term), Counter: token.Counter}
+}
+
+// owners lets gates look owners up.
+type owners struct{ table *ownership.Table }
+
+// OwnerOf implements gate.Owners.
+func (o owners) OwnerOf(service string, keyHash uint64) (gate.Owner, bool) {
+	found := o.table.LookupHash(service, keyspace.Hash(keyHash))
+	owner := gate.Owner{Server: found.Server, Unit: uint64(found.Unit), Fence: fenceOf(found.Token)}
+	return owner, found.Status == ownership.Owned
+}
