--- /dev/null
+++ b/internal/snapshot/reader.go
@@ -0,0 +1,74 @@
+package snapshot
+
+import (
+	"context"
+
+	"fireflyfield/internal/platform"
+
+	"github.com/go-faster/errors"
+)
+
+const readRecords = 64
+
+// Reader reads the stream of snapshots for one name. It is not safe for concurrent
+// use.
+type Reader struct {
+	log       platform.Log
+	assembler *Assembler
+	next      uint64
+	malformed uint64
+}
+
+// NewReader returns a reader that starts at the oldest retained record.
+func NewReader(log platform.Log, name string) *Reader {
+	return &Reader{log: log, assembler: NewAssembler(name), next: 1}
+}
+
+// Update reads to the end of the stream and returns the newest complete snapshot,
+// if there is one.
+func (r *Reader) Update(ctx context.Context) (Snapshot, bool, error) {
+	for {
+		batch, err := r.log.Read(ctx, Stream, r.next, readRecords, 0)
+		var below *platform.BelowFirstError
+		if errors.As(err, &below) && below.First > r.next {
+			r.next = below.First
+			continue
+		}
+		if err != nil {
+			return Snapshot{}, false, errors.Wrap(err, "read snapshots")
+		}
+		if len(batch.Records) == 0 {
+			newest, ok := r.assembler.Newest()
+			return newest, ok, nil
+		}
+		r.add(batch.Records)
+	}
+}
+
+func (r *Reader) add(records []platform.Record) {
+	for _, record := range records {
+		r.next = max(r.next, record.Offset+1)
+		if _, err := r.assembler.Add(record.Data); err != nil {
+			r.malformed++
+		}
+	}
+}
+
+// Malformed returns how many records of the stream could not be decoded.
+func (r *Reader) Malformed() uint64 { return r.malformed }
+
+// Write appends the snapshot to the stream.
+func Write(ctx context.Context, log platform.Log, s Snapshot) error {
+	records, err := Encode(s)
+	if err != nil {
+		return err
+	}
+	const recordsPerAppend = 16
+	for start := 0; start < len(records); start += recordsPerAppend {
+		end := min(start+recordsPerAppend, len(records))
+		if _, err := log.Append(ctx, Stream, records[start:end]...); err != nil {
+			return errors.Wrapf(err, "append snapshot of %s", s.Name)
+		}
+	}
+	return nil
+}
