Wire the thin path: dev, serve and stand-ins as processes

Cause: nothing was served yet. Change: VM with callers', peers' and operators' listeners, configuration from the log, static owners and gates, dev, serve and standin subcommands, tests with separate processes. Not final: owners are static, caller keys are stripped from the Authorization header only, rates are not enforced.

--- a/cmd/fireflyfield/main.go
+++ b/cmd/fireflyfield/main.go
@@ -2,4 +2,10 @@
 // exclusively.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"fireflyfield/internal/cli"
+)
+
+func main() { os.Exit(cli.Main()) }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -257,6 +257,8 @@
 	if reply == nil || resp.StatusCode == http.StatusNoContent {
 		return resp.StatusCode, nil
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(reply)
-	return resp.StatusCode, errors.Wrapf(err, "decode answer of %s", path)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(reply); err != nil {
+		return 0, errors.Wrapf(err, "decode answer of %s", path)
+	}
+	return resp.StatusCode, nil
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -73,6 +73,8 @@
 	Services   Services
 	Dispatcher Dispatcher
 	Observer   Observer
+	// Leaving reports whether the VM is about to stop.
+	Leaving func() bool
 
 	bodies *semaphore.Weighted
 	mux    *http.ServeMux
@@ -82,13 +84,14 @@
 const maxBufferedBytes = 256 << 20
 
 // New returns a handler with the given parts.
-func New(auth Authenticator, limiter Limiter, services Services, dispatcher Dispatcher, observer Observer) *Handler {
+func New(auth Authenticator, limiter Limiter, services Services, dispatcher Dispatcher, observer Observer, leaving func() bool) *Handler {
 	h := &Handler{
 		Auth:       auth,
 		Limiter:    limiter,
 		Services:   services,
 		Dispatcher: dispatcher,
 		Observer:   observer,
+		Leaving:    leaving,
 		bodies:     semaphore.NewWeighted(maxBufferedBytes),
 		mux:        http.NewServeMux(),
 	}
@@ -112,6 +115,11 @@
 	start := time.Now()
 	request := &dispatch.Request{ID: uuid.NewString(), Service: r.PathValue("service"), Method: r.Method}
 	w.Header().Set(backend.HeaderRequestID, request.ID)
+	if h.Leaving() && r.ProtoMajor == 1 {
+		// The caller opens its next connection at another VM; closing an idle
+		// connection later could cut a request that is on its way.
+		w.Header().Set("Connection", "close")
+	}
 	answer := Answer{}
 	defer func() {
 		answer.Took = time.Since(start)
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"fireflyfield/internal/vm"
+)
+
+// serveCommand runs one VM.
+type serveCommand struct {
+	options   vm.Options
+	logLevel  string
+	logFormat string
+}
+
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serveCommand) Synopsis() string { return "run one VM" }
+
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string {
+	return `serve -name NAME -failure-domain DOMAIN -platform HOST:PORT [flags]
+
+Run one VM until SIGINT or SIGTERM, then stop gracefully. One line with the
+addresses is printed when the VM is ready.
+
+Example:
+  fireflyfield serve -name vm-1 -failure-domain plateau -platform 10.0.0.5:7000 \
+    -caller-listen 10.0.1.1:8080 -peer-listen 10.0.1.1:8081
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *serveCommand) SetFlags(fs *flag.FlagSet) {
+	o := &c.options
+	fs.StringVar(&o.Name, "name", "", "name of this VM in the platform's list")
+	fs.StringVar(&o.FailureDomain, "failure-domain", "", "failure domain of this VM")
+	fs.StringVar(&o.Platform, "platform", "", "HOST:PORT of the platform's service")
+	fs.StringVar(&o.CallerListen, "caller-listen", "127.0.0.1:8080", "HOST:PORT of the callers' listener")
+	fs.StringVar(&o.PeerListen, "peer-listen", "127.0.0.1:8081", "HOST:PORT of the listener for other VMs")
+	fs.StringVar(&o.OperatorListen, "operator-listen", "127.0.0.1:8082", "HOST:PORT of the operators' listener")
+	fs.StringVar(&o.PeerToken, "peer-token", "", "shared secret of the VMs; empty accepts every VM")
+	fs.StringVar(&o.OperatorToken, "operator-token", "", "token that operators send; needed unless -operator-listen is a loopback address")
+	fs.DurationVar(&o.StopTimeout, "stop-timeout", vm.DefaultStopTimeout, "longest time of a graceful stop")
+	fs.DurationVar(&o.LeaveDelay, "leave-delay", vm.DefaultLeaveDelay, "time between becoming unready and closing the callers' listener")
+	fs.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
+	fs.StringVar(&c.logFormat, "log-format", "json", "json or console")
+}
+
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := prepare(fs); err != nil {
+		return usageError(err)
+	}
+	logger, err := newLogger(c.logLevel, c.logFormat)
+	if err != nil {
+		return usageError(err)
+	}
+	c.options.Logger = logger
+	if err := c.options.Validate(); err != nil {
+		return usageError(err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	started, err := vm.Start(c.options)
+	if err != nil {
+		return failure(err)
+	}
+	if started.AwaitReady(ctx) == nil {
+		fmt.Printf("ready http://%s peer=%s operator=%s\n", started.CallerAddress(), started.PeerAddress(), started.OperatorAddress())
+	}
+	<-ctx.Done()
+	if err := started.Stop(context.WithoutCancel(ctx)); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/dev/bench_test.go
@@ -0,0 +1,44 @@
+package dev
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"go.uber.org/zap"
+)
+
+// BenchmarkPath measures one request straight to a backend server, through the VM
+// that is its gate, and through another VM, in one run.
+func BenchmarkPath(b *testing.B) {
+	cluster, err := Start(b.Context(), Options{Example: "dakar", Listen: "127.0.0.1:0", Logger: zap.NewNop()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = cluster.Stop(b.Context()) }()
+	b.Run("direct", func(b *testing.B) { benchmarkGet(b, cluster.servers[1].Addr) })
+	for _, started := range cluster.VMs {
+		b.Run(started.Name(), func(b *testing.B) { benchmarkGet(b, started.CallerAddress()) })
+	}
+}
+
+func benchmarkGet(b *testing.B, address string) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.ReportAllocs()
+	for b.Loop() {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+samples["dakar"].path, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+sampleKey)
+		resp, err := client.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			b.Fatal(resp.Status)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dev/path_test.go
@@ -0,0 +1,179 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fireflyfield/internal/outcome"
+	backendstandin "fireflyfield/internal/standin/backend"
+	"fireflyfield/internal/vm"
+)
+
+const sampleKey = "example-key-sandaga"
+
+func startDakar(t *testing.T) *Cluster {
+	t.Helper()
+	cluster, err := Start(t.Context(), Options{Example: "dakar", Listen: "127.0.0.1:0", RunTime: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := cluster.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return cluster
+}
+
+// call is one request of a test.
+type call struct {
+	method, path, key, body string
+	header                  http.Header
+}
+
+func (c call) send(ctx context.Context, address string) (*http.Response, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, strings.NewReader(c.body))
+	if err != nil {
+		return nil, nil, err
+	}
+	for name, values := range c.header {
+		req.Header[name] = values
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp, body, err
+}
+
+// Guards against refusals that say nothing, or that are not marked as not run.
+func TestRefusalsAreClear(t *testing.T) {
+	cluster := startDakar(t)
+	cases := []struct {
+		name   string
+		call   call
+		status int
+		reason string
+	}{
+		{"no key", call{method: "GET", path: "/entretien/a"}, 401, "no-caller-key"},
+		{"wrong key", call{method: "GET", path: "/entretien/a", key: "wrong"}, 401, "unknown-caller-key"},
+		{"unknown service", call{method: "GET", path: "/nothing/a", key: sampleKey}, 404, "unknown-service"},
+		{"no service", call{method: "GET", path: "/", key: sampleKey}, 404, "no-service"},
+		{"no owned key", call{method: "GET", path: "/entretien/", key: sampleKey}, 400, "no-key"},
+		{"oversized", call{method: "POST", path: "/rota/a", key: sampleKey, body: strings.Repeat("x", 1<<20+1)}, 413, "body-too-large"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			resp, body, err := c.call.send(t.Context(), cluster.VMs[0].CallerAddress())
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get("Content-Type"), "application/problem+json")
+			is.Equal(resp.Header.Get(outcome.Header), "not-run")
+			var problem struct{ Reason, Detail string }
+			is.NoErr(json.Unmarshal(body, &problem))
+			is.Equal(problem.Reason, c.reason)
+			is.True(problem.Detail != "")
+			is.True(!strings.Contains(string(body), "wrong")) // a refusal echoes no secret
+		})
+	}
+}
+
+// Guards against the caller key reaching a backend server.
+func TestBackendServerSeesNoCallerKey(t *testing.T) {
+	is := is.New(t)
+	cluster := startDakar(t)
+	requests := []call{
+		{method: "GET", path: "/rota/plan", key: sampleKey},
+		{method: "POST", path: "/entretien/bloc-1?token=" + sampleKey + "&x=1", key: sampleKey, header: http.Header{"X-Api-Key": {sampleKey}, "Cookie": {"k=" + sampleKey}}},
+	}
+	for _, request := range requests {
+		resp, body, err := request.send(t.Context(), cluster.VMs[0].CallerAddress())
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.True(!strings.Contains(string(body), sampleKey))
+	}
+}
+
+// Guards against a caller setting headers that have a meaning inside the system.
+func TestInternalHeadersAreRemoved(t *testing.T) {
+	is := is.New(t)
+	cluster := startDakar(t)
+	header := http.Header{"Fireflyfield-Workspace": {"mairie"}, "Fireflyfield-Fence": {"9.9"}, "Backend-Instance": {"x"}}
+	resp, body, err := call{method: "GET", path: "/rota/plan", key: sampleKey, header: header}.send(t.Context(), cluster.VMs[0].CallerAddress())
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	var echo backendstandin.Echo
+	is.NoErr(json.Unmarshal(body, &echo))
+	is.Equal(echo.Workspace, "sandaga")
+	is.Equal(echo.Header.Get("Fireflyfield-Fence"), "")
+}
+
+// Guards against an answer that a backend server cut short being passed on as
+// whole.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	cluster := startDakar(t)
+	for _, standin := range cluster.Backends {
+		standin.SetFaults(backendstandin.Faults{CutAfterBytes: 20})
+	}
+	for _, started := range cluster.VMs {
+		_, _, err := call{method: "POST", path: "/entretien/bloc-17", key: sampleKey}.send(t.Context(), started.CallerAddress())
+		is.True(err != nil) // the connection must break before the stated length
+	}
+}
+
+// Guards against a planned stop of a VM cutting requests that it has accepted.
+func TestPlannedStopOfVMCutsNothing(t *testing.T) {
+	is := is.New(t)
+	cluster := startDakar(t)
+	const workers = 8
+	var sent, failed atomic.Int64
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for range workers {
+		running.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				address := readyVM(cluster, i).CallerAddress()
+				resp, _, err := call{method: "POST", path: "/entretien/bloc-17", key: sampleKey}.send(context.Background(), address)
+				sent.Add(1)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					failed.Add(1)
+					t.Log(address, err, resp)
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	is.NoErr(cluster.VMs[1].Stop(context.Background()))
+	time.Sleep(200 * time.Millisecond)
+	stop()
+	running.Wait()
+	is.True(sent.Load() > 0)
+	is.Equal(failed.Load(), int64(0))
+}
+
+// readyVM does what the platform's balancer does: it sends to VMs that say that
+// they are ready.
+func readyVM(cluster *Cluster, i int) *vm.VM {
+	for {
+		if candidate := cluster.VMs[i%len(cluster.VMs)]; candidate.Ready() {
+			return candidate
+		}
+		i++
+	}
+}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -233,15 +234,18 @@
 // streamBuffer is the unit in which answers are copied, in bytes.
 const streamBuffer = 32 << 10
 
+var streamBuffers = sync.Pool{New: func() any { return new([streamBuffer]byte) }}
+
 // Stream copies an answer and flushes after each read, so that a slow stream
 // reaches the caller as it comes.
 func Stream(w http.ResponseWriter, body io.Reader) error {
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, streamBuffer)
+	pooled := streamBuffers.Get().(*[streamBuffer]byte)
+	defer streamBuffers.Put(pooled)
 	for {
-		n, err := body.Read(buffer)
+		n, err := body.Read(pooled[:])
 		if n > 0 {
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+			if _, writeErr := w.Write(pooled[:n]); writeErr != nil {
 				return errors.Wrap(writeErr, "write")
 			}
 			if flushErr := controller.Flush(); flushErr != nil {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -103,7 +103,10 @@
 		return nil, errors.Wrap(err, "encode body")
 	}
 	data, err := cbor.Marshal(envelope{Type: kind, ID: id, Direction: dir, Body: raw})
-	return data, errors.Wrap(err, "encode message")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	return data, nil
 }
 
 func decode(data []byte) (envelope, error) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -129,7 +129,10 @@
 
 func (c *Client) newRequest(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
-	return req, errors.Wrap(err, "build request")
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	return req, nil
 }
 
 // do decodes answers with status 200 and 410.
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -55,10 +55,10 @@
 	}
 }
 
-// renew moves every grant in force to the term of the message and extends it.
+// renew extends every grant in force; each keeps its token, so that requests
+// routed by the previous decider's map are still accepted.
 func (t *grantTable) renew(req protocol.GrantRequest) {
 	for unit, grant := range t.held {
-		grant.fence.Term = req.Term
 		grant.expiresMs = max(grant.expiresMs, req.ExpiresAtMs)
 		t.held[unit] = grant
 	}
@@ -75,9 +75,11 @@
 	now := s.nowMs()
 	status := http.StatusOK
 	switch {
-	case req.Instance == "":
-	case req.Instance != s.instance || req.Term < s.grants.term:
+	case req.Term < s.grants.term || req.Instance != "" && req.Instance != s.instance:
 		status = http.StatusConflict
+	case req.Instance == "":
+		// The answer proves to the new decider that no earlier one is obeyed.
+		s.grants.term = req.Term
 	default:
 		s.grants.apply(req, now)
 	}
--- /dev/null
+++ b/internal/vm/vm.go
@@ -0,0 +1,172 @@
+package vm
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/multierr"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/caller"
+	"fireflyfield/internal/config"
+	"fireflyfield/internal/dispatch"
+	"fireflyfield/internal/gate"
+	"fireflyfield/internal/ownership"
+	"fireflyfield/internal/peer"
+	"fireflyfield/internal/platform"
+	"fireflyfield/internal/snapshot"
+)
+
+// snapshotPolicy keeps the tail that a new VM replays short; the platform retains
+// records for longer than an hour.
+var snapshotPolicy = snapshot.Policy{Records: 1000, Age: time.Hour, MaxDelay: 30 * time.Second}
+
+// VM is one running VM.
+type VM struct {
+	options  Options
+	logger   *zap.Logger
+	platform *platform.Client
+	follower *config.Follower
+	fleet    *fleet
+	table    *ownership.Table
+	gates    *gate.Set
+	router   *router
+	calls    *peer.Client
+
+	callers   *listener
+	peers     *listener
+	operators *listener
+
+	stopping   atomic.Bool
+	background sync.WaitGroup
+	stopWork   context.CancelFunc
+}
+
+// Start opens the listeners and begins to follow the platform. The VM is ready
+// once it has read the configuration and the owners.
+func Start(options Options) (*VM, error) {
+	options.setDefaults()
+	if err := options.Validate(); err != nil {
+		return nil, err
+	}
+	v := newVM(options)
+	if err := v.listen(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	v.stopWork = stop
+	v.startBackground(ctx)
+	go v.peers.serve(v.logger)
+	go v.operators.serve(v.logger)
+	go v.callers.serve(v.logger)
+	v.logger.Info("started", zap.String("callers", v.callers.address()), zap.String("peers", v.peers.address()), zap.String("operators", v.operators.address()))
+	return v, nil
+}
+
+func newVM(options Options) *VM {
+	identity := peer.Identity{Version: peer.Version, VM: options.Name, Instance: options.Instance, FailureDomain: options.FailureDomain}
+	v := &VM{
+		options:  options,
+		logger:   options.Logger.With(zap.String("vm", options.Name)),
+		platform: platform.NewClient(options.Platform),
+		fleet:    newFleet(),
+		table:    ownership.NewTable(),
+		calls:    peer.NewClient(identity, options.PeerToken),
+	}
+	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
+	v.gates = gate.NewSet(owners{v.table}, time.Now)
+	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
+	unkeyed := &balancers{domain: options.FailureDomain, table: v.table, senders: send, view: v.follower.State().View}
+	v.router = newRouter(v.table, send, unkeyed)
+	return v
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (v *VM) listen() error {
+	handler := caller.New(v.authenticator(), v.limiter(), services{v.follower.State()}, dispatch.New(v.router, unlimitedBudget{}), noObserver{}, v.stopping.Load)
+	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
+	peerMux := http.NewServeMux()
+	peerMux.Handle(peer.ControlPath, control)
+	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.gates))
+	var faults error
+	open := func(into **listener, address string, limit int, server *http.Server) {
+		opened, err := listen(address, limit, server)
+		faults = multierr.Append(faults, err)
+		*into = opened
+	}
+	open(&v.peers, v.options.PeerListen, 0, peerServer(peerMux))
+	open(&v.operators, v.options.OperatorListen, 0, operatorServer(v.operatorHandler()))
+	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(handler))
+	if faults != nil {
+		v.closeListeners()
+	}
+	return faults
+}
+
+func (v *VM) closeListeners() {
+	for _, l := range []*listener{v.callers, v.peers, v.operators} {
+		if l != nil {
+			_ = l.socket.Close()
+		}
+	}
+}
+
+func (v *VM) startBackground(ctx context.Context) {
+	v.background.Go(func() { v.fleet.follow(ctx, v.platform, v.logger) })
+	v.background.Go(func() { _ = v.follower.Run(ctx) }) // ends with the context only
+	snapshotter := config.NewSnapshotter(v.platform, v.follower, snapshotPolicy, v.logger, newRandom())
+	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
+	v.background.Go(func() { v.assignStatically(ctx) })
+}
+
+// Name returns the name of the VM.
+func (v *VM) Name() string { return v.options.Name }
+
+// CallerAddress returns HOST:PORT of the callers' listener.
+func (v *VM) CallerAddress() string { return v.callers.address() }
+
+// PeerAddress returns HOST:PORT of the listener for other VMs.
+func (v *VM) PeerAddress() string { return v.peers.address() }
+
+// OperatorAddress returns HOST:PORT of the operators' listener.
+func (v *VM) OperatorAddress() string { return v.operators.address() }
+
+// ErrStopping says that the VM has been told to stop before.
+var ErrStopping = errors.New("already stopping")
+
+// Stop ends the VM without cutting a request: it becomes unready, waits for the
+// balancer, stops accepting and lets requests end. It returns an error if
+// requests were still running at the end of the stop timeout.
+func (v *VM) Stop(ctx context.Context) error {
+	if v.stopping.Swap(true) {
+		return ErrStopping
+	}
+	v.logger.Info("stopping")
+	ctx, cancel := context.WithTimeout(ctx, v.options.StopTimeout)
+	defer cancel()
+	sleep(ctx, v.options.LeaveDelay)
+	err := v.callers.shutdown(ctx)
+	v.stopWork()
+	v.background.Wait()
+	err = multierr.Append(err, v.peers.shutdown(ctx))
+	err = multierr.Append(err, v.operators.shutdown(ctx))
+	v.calls.Close()
+	v.platform.Close()
+	v.logger.Info("stopped")
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
