Add admission control of one backend server

Change: internal/admission with slots, a bounded queue in turns between workspaces, the ramp, role lease and degraded mode, adoption and reservation at a takeover, draining, and typed refusals. The decisions take the time as an argument; Gate adds the lock and the waiting.

During a stall the prediction is that it lasts as long again. - In a full queue the newest request of the longest lane gives way. - A slot reserved for an unreachable former gate counts against a limit of 1 too: nothing is admitted then (reason Reserved). - Ticket.MaySend checks lease and restart again right before the send.

Ruled out: refusing every arrival whose remaining time is below the mean latency, because a slow backend server would then never be observed again; a request that finds a free slot is always admitted.

Checked: go test -race passes.

--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,124 @@
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newTestGate(t testing.TB) *Gate {
+	g, err := New(Config{Slots: 4, LongestDeadline: 5 * time.Second, UsualLatency: testLatency})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Renew(time.Now().Add(time.Hour))
+	return g
+}
+
+// Guards against races and lost wake-ups: every request gets one verdict, and the
+// limit holds at every admission.
+func TestGateConcurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGate(t)
+		var wg sync.WaitGroup
+		for worker := range 40 {
+			wg.Go(func() {
+				random := rand.New(rand.NewPCG(1, uint64(worker)))
+				for range 50 {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(random.IntN(200))*time.Millisecond)
+					ticket, refusal := g.Admit(ctx, string(rune('a'+worker%8)), time.Now().Add(time.Second))
+					if !refusal.Refused() {
+						if n := g.Snapshot().InFlight; n > 4 {
+							t.Errorf("%d requests in flight", n)
+						}
+						time.Sleep(testLatency)
+						ticket.Done(good)
+					}
+					cancel()
+				}
+			})
+		}
+		wg.Wait()
+		s := g.Snapshot()
+		if s.InFlight != 0 || s.Queued != 0 || s.Limit != 4 {
+			t.Errorf("after the last request: %+v", s)
+		}
+	})
+}
+
+// Guards against a queued request being held until its deadline at a backend server
+// that froze, and against it waiting on after the role lease ended.
+func TestQueuedRequestIsRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGate(t)
+		_, refusal := g.Admit(t.Context(), "w", time.Time{})
+		is.True(!refusal.Refused())
+		begin := time.Now()
+		_, refusal = g.Admit(t.Context(), "w", begin.Add(time.Second))
+		is.Equal(refusal.Reason, DeadlineTooClose)
+		is.True(time.Since(begin) < 510*time.Millisecond)
+
+		g.Renew(time.Now().Add(100 * time.Millisecond))
+		begin = time.Now()
+		_, refusal = g.Admit(t.Context(), "w", begin.Add(5*time.Second))
+		is.Equal(refusal.Reason, NoLease)
+		is.Equal(time.Since(begin), 100*time.Millisecond)
+	})
+}
+
+// Guards against a planned stop that starts requests or interrupts any.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newTestGate(t)
+		ticket, _ := g.Admit(t.Context(), "w", time.Time{})
+		var queued Refusal
+		go func() { _, queued = g.Admit(t.Context(), "w", time.Time{}) }()
+		synctest.Wait()
+		drained := g.Drain()
+		synctest.Wait()
+		is.Equal(queued.Reason, Draining)
+		is.True(!ticket.MaySend().Refused()) // it was admitted before the drain
+		select {
+		case <-drained:
+			t.Error("drained with a request in flight")
+		default:
+		}
+		ticket.Done(good)
+		ticket.Done(good)
+		<-drained
+		is.Equal(g.Handover().InFlight, 0)
+	})
+}
+
+// Guards against requests that were admitted before a restart reaching the cold
+// backend server together.
+func TestMaySendAfterRestart(t *testing.T) {
+	is := is.New(t)
+	g := newTestGate(t)
+	serve(g.state, 60, good)
+	var tickets []Ticket
+	for range 4 {
+		ticket, refusal := g.Admit(t.Context(), "w", time.Time{})
+		is.True(!refusal.Refused())
+		tickets = append(tickets, ticket)
+	}
+	tickets[0].Done(Observation{Result: ConnectionReset})
+	is.Equal(tickets[1].MaySend().Reason, LimitFell)
+	is.Equal(Ticket{}.MaySend().Reason, Cancelled)
+}
+
+func BenchmarkAdmitDone(b *testing.B) {
+	g := newTestGate(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket, _ := g.Admit(b.Context(), "w", time.Time{})
+		ticket.Done(good)
+	}
+}
