--- a/internal/config/helpers_test.go
+++ b/internal/config/helpers_test.go
@@ -1,14 +1,17 @@
 package config
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"strings"
-	"testing"
 
+	"fireflyfield/internal/platform"
 	"fireflyfield/internal/resource"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 )
 
 func id(n uint64) uuid.UUID {
@@ -75,3 +78,10 @@
 	}
 	return string(data)
 }
+
+// startVM runs a follower until the context ends.
+func startVM(ctx context.Context, log platform.Log, seed uint64) *Follower {
+	f := NewFollower(log, NewState(), zap.NewNop(), rand.New(rand.NewPCG(seed, 1)))
+	go f.Run(ctx)
+	return f
+}
