Let the read in flight end before the retention test continues

The cut did not end a read that was already waiting, so it sometimes returned one more record.

Ruled out: a fault of the follower; the extra record was read from the log in order.

Change: the test waits until that read has ended. The checks are the same.

--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -150,6 +150,7 @@
 		fill(ctx, t, first, 1, 5)
 		time.Sleep(time.Second)
 		link.cut.Store(true)
+		time.Sleep(2 * readWait) // the read in flight ends
 		fill(ctx, t, first, 6, 20)
 		log.Trim(Stream, 20)
 		link.cut.Store(false)
