--- /dev/null
+++ b/internal/trace/control.go
@@ -0,0 +1,245 @@
+package trace
+
+import "github.com/go-faster/errors"
+
+// Types of the events about a recording, configuration and faults.
+const (
+	TypeHeader            Type = "header"
+	TypeEnd               Type = "end"
+	TypeLeave             Type = "leave"
+	TypeCallerKey         Type = "caller-key"
+	TypeCallerKeyWithdraw Type = "caller-key-withdraw"
+	TypeRate              Type = "rate"
+	TypeConfigAccepted    Type = "config-accepted"
+	TypeConfigInForce     Type = "config-in-force"
+	TypeStop              Type = "stop"
+	TypeFault             Type = "fault"
+)
+
+// Role says what the recorder of a trace is.
+type Role string
+
+// The roles of a recorder.
+const (
+	RoleVM       Role = "vm"
+	RoleBackend  Role = "backend"
+	RolePlatform Role = "platform"
+	// RoleDriver is a test or tool that injects faults and sends requests.
+	RoleDriver Role = "driver"
+)
+
+// Header is the first event of a recording.
+type Header struct {
+	Version int  `json:"version"`
+	Role    Role `json:"role"`
+	// Instance differs for every start of the recorder.
+	Instance string `json:"instance"`
+	Domain   string `json:"domain,omitzero"`
+}
+
+// Type implements Body.
+func (Header) Type() Type { return TypeHeader }
+
+func (h Header) validate() error {
+	if h.Version != Version {
+		return errors.Errorf("version %d is not %d", h.Version, Version)
+	}
+	switch h.Role {
+	case RoleVM, RoleBackend, RolePlatform, RoleDriver:
+	default:
+		return errors.Errorf("unknown role %q", h.Role)
+	}
+	return errors.Join(needName("instance", h.Instance), limitName("domain", h.Domain))
+}
+
+// End is the last event of a recording that was closed in order.
+type End struct {
+	// Dropped counts the events that were not written.
+	Dropped uint64 `json:"dropped"`
+}
+
+// Type implements Body.
+func (End) Type() Type { return TypeEnd }
+
+func (End) validate() error { return nil }
+
+// LeavePhase says which step of a departure an event reports.
+type LeavePhase string
+
+// The phases of a departure.
+const (
+	// LeaveDrain is an operator's drain.
+	LeaveDrain LeavePhase = "drain"
+	// LeaveAnnounced is a departure that the domain or server announced itself.
+	LeaveAnnounced LeavePhase = "leave"
+	// LeaveWithdrawn ends a departure: the target may get work again.
+	LeaveWithdrawn LeavePhase = "withdrawn"
+)
+
+// Leave is a step in the departure of a failure domain or backend server. Exactly
+// one of Domain and Server is set.
+type Leave struct {
+	Phase  LeavePhase `json:"phase"`
+	Domain string     `json:"domain,omitzero"`
+	Server Server     `json:"server,omitzero"`
+	// Revision is that of the drain, in the withdrawal too. Several VMs may record
+	// the same drain; the first one counts. Zero for a departure without a drain.
+	Revision uint64 `json:"revision,omitzero"`
+}
+
+// Type implements Body.
+func (Leave) Type() Type { return TypeLeave }
+
+func (l Leave) validate() error {
+	switch l.Phase {
+	case LeaveDrain, LeaveAnnounced, LeaveWithdrawn:
+	default:
+		return errors.Errorf("unknown phase %q", l.Phase)
+	}
+	if (l.Domain != "") == (l.Server != Server{}) {
+		return errors.New("exactly one of domain and server is needed")
+	}
+	if l.Domain != "" {
+		return limitName("domain", l.Domain)
+	}
+	return l.Server.validate()
+}
+
+// CallerKey says that a caller key is valid for a workspace from now on.
+type CallerKey struct {
+	Digest    Digest `json:"digest"`
+	Workspace string `json:"workspace"`
+}
+
+// Type implements Body.
+func (CallerKey) Type() Type { return TypeCallerKey }
+
+func (c CallerKey) validate() error {
+	return errors.Join(c.Digest.validate(), needName("workspace", c.Workspace))
+}
+
+// CallerKeyWithdraw says that the withdrawal of a caller key was accepted.
+type CallerKeyWithdraw struct {
+	Digest Digest `json:"digest"`
+}
+
+// Type implements Body.
+func (CallerKeyWithdraw) Type() Type { return TypeCallerKeyWithdraw }
+
+func (c CallerKeyWithdraw) validate() error { return c.Digest.validate() }
+
+// Rate says that the rate of a workspace was accepted.
+type Rate struct {
+	Workspace         string  `json:"workspace"`
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	Burst             int     `json:"burst"`
+	Revision          uint64  `json:"revision,omitzero"`
+}
+
+// Type implements Body.
+func (Rate) Type() Type { return TypeRate }
+
+func (r Rate) validate() error {
+	if r.RequestsPerSecond <= 0 || r.Burst < 1 {
+		return errors.New("rate and burst must be positive")
+	}
+	return needName("workspace", r.Workspace)
+}
+
+// ConfigAccepted says that a configuration change was accepted.
+type ConfigAccepted struct {
+	Revision uint64 `json:"revision"`
+	// Digest is the xxhash64 of the whole configuration at the revision.
+	Digest Hash `json:"digest"`
+}
+
+// Type implements Body.
+func (ConfigAccepted) Type() Type { return TypeConfigAccepted }
+
+func (ConfigAccepted) validate() error { return nil }
+
+// ConfigInForce says that the recorder works by a revision from now on. A VM that
+// starts records only the revision with which it becomes ready, not those that it
+// replays.
+type ConfigInForce struct {
+	Revision uint64 `json:"revision"`
+	Digest   Hash   `json:"digest"`
+}
+
+// Type implements Body.
+func (ConfigInForce) Type() Type { return TypeConfigInForce }
+
+func (ConfigInForce) validate() error { return nil }
+
+// Phase tells begin from end.
+type Phase string
+
+// The phases.
+const (
+	Begin    Phase = "begin"
+	Finished Phase = "end"
+)
+
+func (p Phase) validate() error {
+	if p != Begin && p != Finished {
+		return errors.Errorf("phase %q is neither begin nor end", p)
+	}
+	return nil
+}
+
+// Stop is the begin or the end of the planned stop of the recorder.
+type Stop struct {
+	Phase Phase `json:"phase"`
+}
+
+// Type implements Body.
+func (Stop) Type() Type { return TypeStop }
+
+func (s Stop) validate() error { return s.Phase.validate() }
+
+// FaultKind names what was injected.
+type FaultKind string
+
+// The fault kinds.
+const (
+	FaultVMLost            FaultKind = "vm-lost"
+	FaultVMPaused          FaultKind = "vm-paused"
+	FaultVMPartitioned     FaultKind = "vm-partitioned"
+	FaultDomainPartitioned FaultKind = "domain-partitioned"
+	FaultDomainLost        FaultKind = "domain-lost"
+	FaultServerFrozen      FaultKind = "server-frozen"
+	FaultServerLost        FaultKind = "server-lost"
+	FaultServerRestarted   FaultKind = "server-restarted"
+	FaultServerSlow        FaultKind = "server-slow"
+	FaultServerMisreports  FaultKind = "server-misreports"
+	FaultServerTruncates   FaultKind = "server-truncates"
+	FaultLogDown           FaultKind = "log-down"
+	FaultLogSlow           FaultKind = "log-slow"
+	FaultLogLosesAnswers   FaultKind = "log-loses-answers"
+)
+
+// Fault is the begin or the end of an injected fault. A fault without a target
+// concerns everything. A fault that has no duration ends with the event of its
+// begin only when an end with the same ID follows.
+type Fault struct {
+	Phase Phase     `json:"phase"`
+	ID    string    `json:"id"`
+	Kind  FaultKind `json:"kind"`
+	// VM, Domain and Server name the target.
+	VM     string `json:"vm,omitzero"`
+	Domain string `json:"domain,omitzero"`
+	Server Server `json:"server,omitzero"`
+}
+
+// Type implements Body.
+func (Fault) Type() Type { return TypeFault }
+
+func (f Fault) validate() error {
+	if f.Server != (Server{}) {
+		if err := f.Server.validate(); err != nil {
+			return err
+		}
+	}
+	return errors.Join(f.Phase.validate(), needName("id", f.ID), needName("kind", string(f.Kind)),
+		limitName("vm", f.VM), limitName("domain", f.Domain))
+}
