Add a checker for each of the twelve invariants

Change: internal/check indexes a merged trace once and runs twelve checkers. Each returns held, broken with the first ten offences and their events, or not exercised with what the trace lacks. A trace with dropped events is never reported as held. The trace gets RunEnd.Cancelled and revisions on caller keys, which the checkers of invariants 7 and 5 need.

Ruled out: counting rate spending from the arrival or the attempt, because queueing compresses either; the event 'admitted' marks the token instead. Ruled out: excusing a withdrawn caller key during a partition, because the design states that the invariant does not hold then with onStaleKeys: serve.

Tests: a clean trace on which all twelve hold, 31 doctored ones on which exactly the expected checker says broken, one per invariant that lacks what it needs.

No trace of a running VM has been checked yet.

--- a/internal/trace/backend.go
+++ b/internal/trace/backend.go
@@ -53,6 +53,8 @@
 	// HEAD.
 	Bytes  int64 `json:"bytes"`
 	Digest Hash  `json:"digest"`
+	// Cancelled says that the run ended early, so that its response is incomplete.
+	Cancelled bool `json:"cancelled,omitzero"`
 }
 
 // Type implements Body.
--- a/internal/trace/control.go
+++ b/internal/trace/control.go
@@ -109,6 +109,7 @@
 type CallerKey struct {
 	Digest    Digest `json:"digest"`
 	Workspace string `json:"workspace"`
+	Revision  uint64 `json:"revision,omitzero"`
 }
 
 // Type implements Body.
@@ -121,6 +122,9 @@
 // CallerKeyWithdraw says that the withdrawal of a caller key was accepted.
 type CallerKeyWithdraw struct {
 	Digest Digest `json:"digest"`
+	// Revision is that of the withdrawal. A grant with a lower one that another VM
+	// records later does not make the key valid again.
+	Revision uint64 `json:"revision,omitzero"`
 }
 
 // Type implements Body.
@@ -219,8 +223,8 @@
 )
 
 // Fault is the begin or the end of an injected fault. A fault without a target
-// concerns everything. A fault that has no duration ends with the event of its
-// begin only when an end with the same ID follows.
+// concerns everything. A fault without an end lasts until the end of the trace; one
+// without a duration, such as a restart, has both events at the same time.
 type Fault struct {
 	Phase Phase     `json:"phase"`
 	ID    string    `json:"id"`
