--- /dev/null
+++ b/internal/report/balance.go
@@ -0,0 +1,139 @@
+package report
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"fireflyfield/internal/check"
+	"fireflyfield/internal/trace"
+)
+
+// Balance is the imbalance, churn and unavailable time of one service.
+type Balance struct {
+	Service string       `json:"service"`
+	Servers []ServerLoad `json:"servers"`
+	// Imbalance is the highest busy time of a backend server by the mean; 1 is even.
+	Imbalance float64 `json:"imbalance"`
+	// Moves counts units that went to another backend server.
+	Moves        int     `json:"moves"`
+	MovesPerHour float64 `json:"moves_per_hour"`
+	// Unavailable sums, over all units, the time between two holders.
+	Unavailable time.Duration `json:"unavailable_ns"`
+	// LongestGap is the longest time that one unit had no holder.
+	LongestGap time.Duration `json:"longest_gap_ns"`
+	Units      int           `json:"units"`
+}
+
+// ServerLoad is the work of one backend server.
+type ServerLoad struct {
+	Server string        `json:"server"`
+	Runs   int           `json:"runs"`
+	Busy   time.Duration `json:"busy_ns"`
+}
+
+// balanceOf needs events by time.
+func balanceOf(events []trace.Event) []Balance {
+	services := make(map[string]*Balance)
+	addLoad(services, events)
+	addChurn(services, events)
+	length := time.Duration(events[len(events)-1].Time - events[0].Time)
+	var list []Balance
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		b := services[name]
+		b.Imbalance = imbalance(b.Servers)
+		if length > 0 {
+			b.MovesPerHour = float64(b.Moves) / length.Hours()
+		}
+		list = append(list, *b)
+	}
+	return list
+}
+
+func serviceBalance(services map[string]*Balance, name string) *Balance {
+	if services[name] == nil {
+		services[name] = &Balance{Service: name}
+	}
+	return services[name]
+}
+
+// addLoad sums the runs of each backend server that reported a state or ran a
+// request, so that an idle one counts in the mean.
+func addLoad(services map[string]*Balance, events []trace.Event) {
+	type run struct {
+		request string
+		attempt uint32
+	}
+	loads := make(map[trace.Server]*ServerLoad)
+	started := make(map[run]int64)
+	load := func(server trace.Server) *ServerLoad {
+		if loads[server] == nil {
+			loads[server] = &ServerLoad{Server: server.Name}
+		}
+		return loads[server]
+	}
+	for _, event := range events {
+		switch body := event.Body.(type) {
+		case trace.ServerState:
+			load(body.Server)
+		case trace.RunStart:
+			load(body.Server).Runs++
+			started[run{body.Request, body.Attempt}] = event.Time
+		case trace.RunEnd:
+			if begin, ok := started[run{body.Request, body.Attempt}]; ok {
+				load(body.Server).Busy += time.Duration(event.Time - begin)
+			}
+		}
+	}
+	for server, l := range loads {
+		b := serviceBalance(services, server.Service)
+		b.Servers = append(b.Servers, *l)
+	}
+	for _, b := range services {
+		slices.SortFunc(b.Servers, func(x, y ServerLoad) int { return cmp.Compare(x.Server, y.Server) })
+	}
+}
+
+func imbalance(servers []ServerLoad) float64 {
+	var sum, highest time.Duration
+	for _, s := range servers {
+		sum += s.Busy
+		highest = max(highest, s.Busy)
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(highest) * float64(len(servers)) / float64(sum)
+}
+
+// addChurn counts moves and gaps between successive holders of slices. Hot keys
+// are left out: they begin and end by design, and their slice covers them.
+func addChurn(services map[string]*Balance, events []trace.Event) {
+	var previous *check.Holding
+	for _, held := range check.Holdings(events) {
+		if held.Unit.Hot() {
+			continue
+		}
+		b := serviceBalance(services, held.Server.Service)
+		if previous == nil || previous.Unit != held.Unit || previous.Server.Service != held.Server.Service {
+			b.Units++
+			previous = &held
+			continue
+		}
+		b.addMove(*previous, held)
+		previous = &held
+	}
+}
+
+func (b *Balance) addMove(previous, held check.Holding) {
+	if previous.Server != held.Server {
+		b.Moves++
+	}
+	gap := time.Duration(held.Begin - previous.End)
+	if gap <= 0 {
+		return
+	}
+	b.Unavailable += gap
+	b.LongestGap = max(b.LongestGap, gap)
+}
--- /dev/null
+++ b/internal/report/metrics.go
@@ -0,0 +1,171 @@
+package report
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"fireflyfield/internal/trace"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Metrics holds the five metrics of section 3 of the design for one trace.
+type Metrics struct {
+	Begin time.Time `json:"begin"`
+	End   time.Time `json:"end"`
+	// Balance covers imbalance, churn and unavailable time.
+	Balance    []Balance    `json:"balance"`
+	Departures []Departure  `json:"departures"`
+	Latency    []Latency    `json:"latency"`
+	Workspaces []Workspace  `json:"workspaces"`
+	Wrongful   Wrongful     `json:"wrongful_refusals"`
+	Timeline   []SecondStep `json:"timeline"`
+	// WorstWorkspace names the entry of Workspaces with the highest share of failed
+	// requests, then with the highest p99; empty without requests.
+	WorstWorkspace string `json:"worst_workspace"`
+}
+
+// Workspace is how one workspace was served.
+type Workspace struct {
+	Workspace string `json:"workspace"`
+	Counts
+	P50 time.Duration `json:"p50_ns"`
+	P99 time.Duration `json:"p99_ns"`
+}
+
+// Wrongful counts refusals although the workspace was inside its rate.
+type Wrongful struct {
+	Valid    uint64        `json:"valid"`
+	Refused  uint64        `json:"refused"`
+	Share    float64       `json:"share"`
+	ByReason []ReasonCount `json:"by_reason"`
+}
+
+// ReasonCount is the number of wrongful refusals of one workspace for one reason.
+type ReasonCount struct {
+	Workspace string        `json:"workspace"`
+	Reason    trace.Refusal `json:"reason"`
+	Refused   uint64        `json:"refused"`
+}
+
+// SecondStep holds the counts of all services in one second.
+type SecondStep struct {
+	Start time.Time `json:"start"`
+	Counts
+}
+
+// ComputeMetrics computes the metrics of a merged trace.
+func ComputeMetrics(events []trace.Event, objectives Objectives) Metrics {
+	events = slices.SortedStableFunc(slices.Values(events), trace.Compare)
+	if len(events) == 0 {
+		return Metrics{}
+	}
+	requests := joinRequests(events)
+	m := Metrics{Begin: events[0].When().UTC(), End: events[len(events)-1].When().UTC()}
+	m.Balance = balanceOf(events)
+	m.Departures = departuresOf(events, requests, objectives)
+	m.Latency = latencyOf(events, requests)
+	m.Workspaces = workspacesOf(requests, objectives)
+	m.WorstWorkspace = worstWorkspace(m.Workspaces)
+	m.Wrongful = wrongfulOf(requests)
+	m.Timeline = timelineOf(requests, objectives)
+	return m
+}
+
+// Bounds and precision of latency histograms, in µs. Three digits keep the error
+// of a percentile below 0.1%.
+const (
+	lowestLatency  = 1
+	highestLatency = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits  = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+}
+
+// record adds a latency; one outside the bounds is recorded as the nearest bound.
+func record(h *hdrhistogram.Histogram, latency time.Duration) {
+	value := min(max(latency.Microseconds(), lowestLatency), highestLatency)
+	// RecordValue fails only outside the bounds.
+	_ = h.RecordValue(value)
+}
+
+func quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
+	if h.TotalCount() == 0 {
+		return 0
+	}
+	return time.Duration(h.ValueAtPercentile(percent)) * time.Microsecond
+}
+
+func workspacesOf(requests []*served, objectives Objectives) []Workspace {
+	counts := make(map[string]*Counts)
+	histograms := make(map[string]*hdrhistogram.Histogram)
+	for _, s := range requests {
+		name := s.request.Workspace
+		if name == "" {
+			continue
+		}
+		if counts[name] == nil {
+			counts[name] = &Counts{}
+			histograms[name] = newHistogram()
+		}
+		counts[name].count(s, objectives.of(s.request.Service).Latency.Std())
+		if s.class() == good {
+			record(histograms[name], s.latency)
+		}
+	}
+	var list []Workspace
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		h := histograms[name]
+		list = append(list, Workspace{Workspace: name, Counts: *counts[name], P50: quantile(h, 50), P99: quantile(h, 99)})
+	}
+	return list
+}
+
+func worstWorkspace(list []Workspace) string {
+	if len(list) == 0 {
+		return ""
+	}
+	worst := slices.MaxFunc(list, func(a, b Workspace) int {
+		return cmp.Or(cmp.Compare(a.FailedShare(), b.FailedShare()), cmp.Compare(a.P99, b.P99))
+	})
+	return worst.Workspace
+}
+
+func wrongfulOf(requests []*served) Wrongful {
+	type place struct {
+		workspace string
+		reason    trace.Refusal
+	}
+	var total Counts
+	reasons := make(map[place]uint64)
+	for _, s := range requests {
+		total.count(s, 0)
+		if s.class() == wrongful {
+			reasons[place{s.request.Workspace, s.answer.Reason}]++
+		}
+	}
+	w := Wrongful{Valid: total.Valid, Refused: total.RefusedInside, Share: share(total.RefusedInside, total.Valid)}
+	for at, refused := range reasons {
+		w.ByReason = append(w.ByReason, ReasonCount{at.workspace, at.reason, refused})
+	}
+	slices.SortFunc(w.ByReason, func(a, b ReasonCount) int {
+		return cmp.Or(cmp.Compare(b.Refused, a.Refused), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Reason, b.Reason))
+	})
+	return w
+}
+
+func timelineOf(requests []*served, objectives Objectives) []SecondStep {
+	var steps []SecondStep
+	for _, s := range requests {
+		start := time.Unix(0, s.received).UTC().Truncate(time.Second)
+		if len(steps) == 0 || !steps[len(steps)-1].Start.Equal(start) {
+			steps = append(steps, SecondStep{Start: start})
+		}
+		steps[len(steps)-1].count(s, objectives.of(s.request.Service).Latency.Std())
+	}
+	return steps
+}
