--- /dev/null
+++ b/internal/ownership/publish.go
@@ -0,0 +1,57 @@
+package ownership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fireflyfield/internal/keyspace"
+)
+
+// publishInterval is the least time between two domain maps.
+const publishInterval = 20 * time.Millisecond
+
+// pumpPublish publishes the domain map after a change.
+func (d *Decider) pumpPublish() {
+	lead := d.lead
+	if !lead.changed || lead.relinquished || lead.superseded || d.authority() == noAuthority {
+		return
+	}
+	if lead.version > 0 && d.now.Mono-lead.publishedAt < publishInterval {
+		return
+	}
+	lead.changed = false
+	lead.publishedAt = d.now.Mono
+	lead.version++
+	d.emit(Publish{Map: d.domainMap()})
+}
+
+func (d *Decider) domainMap() DomainMap {
+	published := DomainMap{
+		Domain:   d.options.Domain,
+		Term:     d.lead.term,
+		Version:  d.lead.version,
+		Services: make(map[string]ServiceMap, len(d.lead.services)),
+	}
+	for name, run := range d.lead.services {
+		published.Services[name] = d.serviceMap(name, run)
+	}
+	for _, role := range slices.SortedFunc(maps.Keys(d.lead.roles), compareRoles) {
+		published.Roles = append(published.Roles, RoleAssignment{Role: role, VM: d.lead.roles[role].VM})
+	}
+	return published
+}
+
+// serviceMap lists the units that are owned and not about to move.
+func (d *Decider) serviceMap(name string, run *serviceRun) ServiceMap {
+	view := ServiceMap{
+		Units: make(map[keyspace.Unit]Assignment, len(run.units)),
+		Hot:   maps.Clone(d.state.Service(name).Hot),
+	}
+	for unit, u := range run.units {
+		if u.owner != "" && u.target == "" && !u.hold {
+			view.Units[unit] = Assignment{Server: u.owner, Token: u.token}
+		}
+	}
+	return view
+}
--- a/internal/ownership/state.go
+++ b/internal/ownership/state.go
@@ -15,11 +15,17 @@
 	Token  Token  `cbor:"2,keyasint"`
 }
 
+// Released says that a slice was given up at a home epoch for another domain.
+type Released struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	To    string `cbor:"2,keyasint"`
+}
+
 // ServiceState is what a domain stream says about one service.
 type ServiceState struct {
 	Units map[keyspace.Unit]Assignment `cbor:"1,keyasint"`
-	// Released maps a slice to the highest home epoch at which it was released.
-	Released map[keyspace.Unit]uint64 `cbor:"2,keyasint"`
+	// Released holds the last release of a slice.
+	Released map[keyspace.Unit]Released `cbor:"2,keyasint"`
 	// Hot holds the hot keys of the exception table.
 	Hot map[keyspace.Unit]bool `cbor:"3,keyasint"`
 }
@@ -37,9 +43,11 @@
 	Services    map[string]*ServiceState `cbor:"7,keyasint"`
 	// Orphaned says that the current term began without members, so that its
 	// decider cannot know what the lost deciders granted last.
-	Orphaned bool       `cbor:"8,keyasint"`
-	Seen     []RecordID `cbor:"9,keyasint"`
-	seen     map[RecordID]bool
+	Orphaned bool `cbor:"8,keyasint"`
+	// First says that the current term is the first one.
+	First bool       `cbor:"10,keyasint"`
+	Seen  []RecordID `cbor:"9,keyasint"`
+	seen  map[RecordID]bool
 }
 
 // NewState returns the state before the first record.
@@ -71,7 +79,7 @@
 func newServiceState() *ServiceState {
 	return &ServiceState{
 		Units:    make(map[keyspace.Unit]Assignment),
-		Released: make(map[keyspace.Unit]uint64),
+		Released: make(map[keyspace.Unit]Released),
 		Hot:      make(map[keyspace.Unit]bool),
 	}
 }
@@ -135,6 +143,7 @@
 		return false
 	}
 	s.Orphaned = orphaned
+	s.First = s.Term == 0
 	s.begin(offset, claim.Member)
 	return true
 }
@@ -203,8 +212,10 @@
 	}
 	service := s.Service(release.Service)
 	for _, slice := range release.Slices {
-		service.Released[slice] = max(service.Released[slice], release.Epoch)
-		delete(service.Units, slice)
+		if service.Released[slice].Epoch < release.Epoch {
+			service.Released[slice] = Released{Epoch: release.Epoch, To: release.To}
+			delete(service.Units, slice)
+		}
 	}
 	return true
 }
@@ -214,6 +225,7 @@
 		return false
 	}
 	s.Orphaned = false
+	s.First = false
 	s.begin(offset, handoff.To)
 	return true
 }
