Drive the ownership logic: workers, heartbeats, grants, role leases and map exchange

Cause: owners and gates were static. Change: one goroutine steps the decision logic, workers carry out its actions; gates open and close with role leases; VMs exchange domain maps and configuration records every 250 ms, because a map sent once to a VM that was not on the list yet never arrived. Seen before the exchange: in dev a request through a VM that missed a map got no-owner after 2.5 s.

--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -45,6 +45,11 @@
 	Counter uint64
 }
 
+// Less reports whether f is lower than other.
+func (f Fence) Less(other Fence) bool {
+	return f.Term < other.Term || f.Term == other.Term && f.Counter < other.Counter
+}
+
 // String returns the header form.
 func (f Fence) String() string { return fmt.Sprintf("%d.%d", f.Term, f.Counter) }
 
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -17,7 +17,7 @@
 	backendstandin "fireflyfield/internal/standin/backend"
 )
 
-const keyedChecksGrants = false
+const keyedChecksGrants = true
 
 func digest(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -7,30 +7,80 @@
 	"time"
 
 	"fireflyfield/internal/admission"
+	"fireflyfield/internal/backend"
+	"fireflyfield/internal/peer"
 )
 
-// observedBody frees the slot when the answer has ended and tells the gate how it
-// ended.
-type observedBody struct {
-	body     io.ReadCloser
-	ctx      context.Context
+// run is one admitted attempt from the send to the end of its answer.
+type run struct {
+	entry    *entry
 	ticket   admission.Ticket
-	instance string
-	start    time.Time
+	keyed    bool
+	unit     uint64
+	ctx      context.Context
 	now      Clock
+	start    time.Time
+	instance string
 	done     sync.Once
 }
 
+func (r *run) send(attempt peer.Attempt, owner Owner) (*backend.Response, error) {
+	r.start = r.now()
+	resp, err := r.entry.client.Send(r.ctx, backend.Request{
+		ID:         attempt.RequestID,
+		Workspace:  attempt.Workspace,
+		Method:     attempt.Method,
+		Target:     attempt.Target,
+		Header:     attempt.Header,
+		Body:       attempt.Body,
+		Deadline:   attempt.Deadline(),
+		Idempotent: attempt.Idempotent,
+		Keyed:      attempt.Keyed,
+		Unit:       owner.Unit,
+		Fence:      owner.Fence,
+	})
+	if err != nil {
+		failure := err.(*backend.Failure)
+		r.instance = failure.Instance
+		r.observe(resultOf(r.ctx, failure))
+		return nil, failure
+	}
+	r.instance = resp.Instance
+	resp.Body = &observedBody{body: resp.Body, run: r}
+	return resp, nil
+}
+
+func (r *run) observe(result admission.Result) {
+	r.finish(admission.Observation{Result: result, Instance: r.instance, Latency: r.now().Sub(r.start)})
+}
+
+// finish frees the slot and the unit; further calls have no effect.
+func (r *run) finish(observation admission.Observation) {
+	r.done.Do(func() {
+		r.ticket.Done(observation)
+		if r.keyed {
+			r.entry.units.end(r.unit)
+		}
+	})
+}
+
+// observedBody reports how the answer ended.
+type observedBody struct {
+	body io.ReadCloser
+	run  *run
+}
+
 // Read implements io.Reader.
 func (b *observedBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	ended := b.run.ctx.Err()
 	switch {
 	case err == io.EOF:
-		b.finish(admission.Answered)
-	case err != nil && b.ctx.Err() == context.DeadlineExceeded:
-		b.finish(admission.TimedOut)
-	case err != nil && b.ctx.Err() == nil:
-		b.finish(admission.ConnectionReset)
+		b.run.observe(admission.Answered)
+	case err != nil && ended == context.DeadlineExceeded:
+		b.run.observe(admission.TimedOut)
+	case err != nil && ended == nil:
+		b.run.observe(admission.ConnectionReset)
 	}
 	return n, err
 }
@@ -38,13 +88,6 @@
 // Close implements io.Closer.
 func (b *observedBody) Close() error {
 	err := b.body.Close()
-	b.finish(admission.Abandoned)
+	b.run.observe(admission.Abandoned)
 	return err
 }
-
-// finish reports the first end of the answer only.
-func (b *observedBody) finish(result admission.Result) {
-	b.done.Do(func() {
-		b.ticket.Done(admission.Observation{Result: result, Instance: b.instance, Latency: b.now().Sub(b.start)})
-	})
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -52,6 +52,7 @@
 	slots   int
 	gate    *admission.Gate
 	client  *backend.Client
+	units   *unitGuard
 }
 
 // NewSet returns a set without gates.
@@ -68,6 +69,15 @@
 	Takeover *admission.Takeover
 }
 
+// Renew extends the lease of the gate, or returns false if it is not open.
+func (s *Set) Renew(id ServerID, expires time.Time) bool {
+	existing, ok := s.lookup(id)
+	if ok {
+		existing.gate.Renew(expires)
+	}
+	return ok
+}
+
 // Open makes this VM the gate of the backend server until the lease expires; for
 // one that is open already it renews the lease.
 func (s *Set) Open(server Server, expires time.Time) error {
@@ -107,6 +117,7 @@
 		slots:   spec.Slots,
 		gate:    gate,
 		client:  backend.NewClient(server.Address, spec.Connections),
+		units:   newUnitGuard(),
 	}, nil
 }
 
@@ -175,15 +186,16 @@
 		return nil, refused(refusal)
 	}
 	owner, ok := s.owner(attempt)
-	if !ok {
+	if !ok || attempt.Keyed && !existing.units.begin(owner) {
 		ticket.Done(admission.Observation{Result: admission.Abandoned})
 		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "moved"}
 	}
+	run := &run{entry: existing, ticket: ticket, keyed: attempt.Keyed, unit: owner.Unit, ctx: ctx, now: s.now}
 	if refusal := ticket.MaySend(); refusal.Refused() {
-		ticket.Done(admission.Observation{Result: admission.Abandoned})
+		run.finish(admission.Observation{Result: admission.Abandoned})
 		return nil, refused(refusal)
 	}
-	return existing.send(ctx, attempt, owner, ticket, s.now)
+	return run.send(attempt, owner)
 }
 
 // owner returns the token to send. It is read after the wait for a slot, because
@@ -196,30 +208,6 @@
 	return owner, ok && owner.Server == attempt.Server
 }
 
-func (e *entry) send(ctx context.Context, attempt peer.Attempt, owner Owner, ticket admission.Ticket, now Clock) (*backend.Response, error) {
-	start := now()
-	resp, err := e.client.Send(ctx, backend.Request{
-		ID:         attempt.RequestID,
-		Workspace:  attempt.Workspace,
-		Method:     attempt.Method,
-		Target:     attempt.Target,
-		Header:     attempt.Header,
-		Body:       attempt.Body,
-		Deadline:   attempt.Deadline(),
-		Idempotent: attempt.Idempotent,
-		Keyed:      attempt.Keyed,
-		Unit:       owner.Unit,
-		Fence:      owner.Fence,
-	})
-	if err != nil {
-		failure := err.(*backend.Failure)
-		ticket.Done(admission.Observation{Result: resultOf(ctx, failure), Instance: failure.Instance, Latency: now().Sub(start)})
-		return nil, failure
-	}
-	resp.Body = &observedBody{body: resp.Body, ctx: ctx, ticket: ticket, instance: resp.Instance, start: start, now: now}
-	return resp, nil
-}
-
 // resultOf says what a failed attempt shows of the backend server.
 func resultOf(ctx context.Context, failure *backend.Failure) admission.Result {
 	switch failure.Reason {
@@ -264,3 +252,26 @@
 		return "overloaded"
 	}
 }
+
+// StopUnits refuses further requests for the units under tokens up to the given
+// ones and waits until those in flight have ended. It returns the units that are
+// stopped when the context ends; none for a gate that this VM does not have,
+// because requests of its former gate may still be in flight.
+func (s *Set) StopUnits(ctx context.Context, id ServerID, units map[uint64]backend.Fence) []uint64 {
+	existing, ok := s.lookup(id)
+	if !ok {
+		return nil
+	}
+	existing.units.stop(units)
+	for {
+		idle, changed := existing.units.drained(units)
+		if len(idle) == len(units) {
+			return idle
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return idle
+		}
+	}
+}
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -83,6 +83,12 @@
 	return vm, ok
 }
 
+// address returns the peer address of the VM.
+func (f *fleet) address(name string) (string, bool) {
+	vm, ok := f.lookup(name)
+	return vm.PeerAddress, ok
+}
+
 // inDomain returns the VMs of the failure domain, sorted by name.
 func (f *fleet) inDomain(domain string) []platform.VM {
 	f.mu.RLock()
@@ -97,6 +103,11 @@
 	return found
 }
 
+// except returns every VM but one, sorted by name.
+func (f *fleet) except(name string) []platform.VM {
+	return slices.DeleteFunc(f.all(), func(vm platform.VM) bool { return vm.Name == name })
+}
+
 // all returns every VM, sorted by name.
 func (f *fleet) all() []platform.VM {
 	f.mu.RLock()
--- a/internal/vm/options.go
+++ b/internal/vm/options.go
@@ -7,6 +7,7 @@
 
 import (
 	"net"
+	"runtime"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,6 +42,10 @@
 	// listener, in which the platform's balancer notices.
 	LeaveDelay time.Duration
 
+	// Workers is the number of goroutines that carry out the actions of the
+	// decision logic; zero means four for each core.
+	Workers int
+
 	Logger *zap.Logger
 }
 
@@ -49,6 +54,7 @@
 	DefaultStopTimeout = 30 * time.Second
 	DefaultLeaveDelay  = 3 * time.Second
 	maxStopTimeout     = 10 * time.Minute
+	workersPerCore     = 4
 )
 
 // Validate reports every fault together.
@@ -96,6 +102,9 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Workers == 0 {
+		o.Workers = workersPerCore * runtime.NumCPU()
+	}
 	if o.StopTimeout == 0 {
 		o.StopTimeout = DefaultStopTimeout
 	}
--- /dev/null
+++ b/internal/vm/perform.go
@@ -0,0 +1,199 @@
+package vm
+
+import (
+	"context"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"fireflyfield/internal/backend"
+	"fireflyfield/internal/keyspace"
+	"fireflyfield/internal/ownership"
+	"fireflyfield/internal/peer"
+	"fireflyfield/internal/platform"
+)
+
+// readRecords is the number of records asked for in one read.
+const readRecords = 512
+
+// perform carries out one action and hands its result to the logic.
+func (a *assigner) perform(ctx context.Context, action ownership.Action) {
+	switch action := action.(type) {
+	case ownership.Append:
+		a.append(ctx, action)
+	case ownership.Read:
+		a.read(ctx, action)
+	case ownership.SendGrant:
+		a.sendGrant(ctx, action)
+	case ownership.SendHeartbeat:
+		a.sendHeartbeat(ctx, action.Heartbeat)
+	case ownership.Publish:
+		a.publish(ctx, action.Map)
+	case ownership.StopUnits:
+		a.stopUnits(ctx, action)
+	}
+}
+
+// stream returns the platform's name of the stream.
+func (a *assigner) stream(stream ownership.Stream) string {
+	if stream == ownership.HomesStream {
+		return "homes"
+	}
+	return "domain." + a.domain
+}
+
+func (a *assigner) append(ctx context.Context, action ownership.Append) {
+	data, err := action.Record.Encode()
+	if err == nil {
+		_, err = a.vm.platform.Append(ctx, a.stream(action.Stream), data)
+	}
+	if err != nil {
+		a.enqueue(ctx, ownership.AppendLost{ID: action.Record.ID})
+		return
+	}
+	a.enqueue(ctx, ownership.AppendDone{ID: action.Record.ID})
+}
+
+func (a *assigner) read(ctx context.Context, action ownership.Read) {
+	sent := a.clock.now()
+	batch, err := a.vm.platform.Read(ctx, a.stream(action.Stream), action.From, readRecords, 0)
+	if err != nil {
+		a.enqueue(ctx, ownership.ReadFailed{Stream: action.Stream})
+		return
+	}
+	a.enqueue(ctx, ownership.RecordsRead{
+		Stream:  action.Stream,
+		Records: decodeRecords(batch.Records),
+		End:     len(batch.Records) < readRecords,
+		SentAt:  sent,
+	})
+}
+
+func decodeRecords(records []platform.Record) []ownership.StreamRecord {
+	decoded := make([]ownership.StreamRecord, 0, len(records))
+	for _, record := range records {
+		body, err := ownership.DecodeRecord(record.Data)
+		decoded = append(decoded, ownership.StreamRecord{Offset: record.Offset, Record: body, Invalid: err != nil})
+	}
+	return decoded
+}
+
+func (a *assigner) sendGrant(ctx context.Context, action ownership.SendGrant) {
+	client, ok := a.vm.control.client(action.Server)
+	if !ok {
+		a.enqueue(ctx, ownership.GrantFailed{Server: action.Server, Seq: action.Seq})
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := client.Grants(callCtx, grantRequest(action))
+	var stale *backend.StaleError
+	switch {
+	case errors.As(err, &stale):
+		a.enqueue(ctx, grantReplied(action, stale.Reply, true))
+	case err == nil:
+		a.enqueue(ctx, grantReplied(action, reply, false))
+	default:
+		a.enqueue(ctx, ownership.GrantFailed{Server: action.Server, Seq: action.Seq})
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.enqueue(ctx, ownership.ServerEnded{Server: action.Server})
+		}
+	}
+}
+
+func grantRequest(action ownership.SendGrant) backend.GrantRequest {
+	request := backend.GrantRequest{
+		Service:     action.Server.Service,
+		Instance:    action.Instance,
+		Term:        uint64(action.Term),
+		ExpiresAtMs: action.Expires.Milliseconds(),
+		Renew:       action.Renew,
+	}
+	for _, grant := range action.Grant {
+		request.Grant = append(request.Grant, backend.Grant{Unit: uint64(grant.Unit), Counter: grant.Token.Counter})
+	}
+	for _, unit := range action.Revoke {
+		request.Revoke = append(request.Revoke, uint64(unit))
+	}
+	return request
+}
+
+func grantReplied(action ownership.SendGrant, reply backend.GrantReply, refused bool) ownership.GrantReplied {
+	event := ownership.GrantReplied{
+		Server:   action.Server,
+		Seq:      action.Seq,
+		Refused:  refused,
+		Instance: reply.Instance,
+		Now:      time.Duration(reply.NowMs) * time.Millisecond,
+		Term:     ownership.Term(reply.Term),
+	}
+	for _, held := range reply.Held {
+		event.Held = append(event.Held, ownership.HeldUnit{
+			Unit:  keyspace.Unit(held.Unit),
+			Token: ownership.Token{Term: ownership.Term(held.Term), Counter: held.Counter},
+		})
+	}
+	return event
+}
+
+func (a *assigner) sendHeartbeat(ctx context.Context, heartbeat ownership.Heartbeat) {
+	address, ok := a.vm.fleet.address(heartbeat.To.VM)
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply ownership.HeartbeatReply
+	answered, err := a.vm.calls.Call(callCtx, address, messageHeartbeat, heartbeat, &reply)
+	if a.ended(heartbeat.To, answered, err) {
+		a.enqueue(ctx, ownership.PeerEnded{Member: heartbeat.To})
+		return
+	}
+	if err == nil {
+		a.enqueue(ctx, ownership.HeartbeatReplied{Reply: reply})
+	}
+}
+
+// ended reports whether a call proved that the member's process has ended.
+func (a *assigner) ended(member ownership.Member, answered peer.Identity, err error) bool {
+	var unreachable *peer.UnreachableError
+	if errors.As(err, &unreachable) {
+		return unreachable.Refused
+	}
+	return answered.VM == member.VM && answered.Instance != "" && answered.Instance != member.Instance
+}
+
+// publish applies the map here and sends it to the VMs of this failure domain and
+// to one VM of each other one, which relays it.
+func (a *assigner) publish(ctx context.Context, published ownership.DomainMap) {
+	a.vm.acceptMap(published)
+	a.vm.sendMap(ctx, domainMapCall{Map: published}, a.vm.fleet.inDomain(a.domain))
+	relays := make(map[string]platform.VM)
+	for _, vm := range a.vm.fleet.all() {
+		if vm.FailureDomain != a.domain {
+			relays[vm.FailureDomain] = vm
+		}
+	}
+	for _, vm := range relays {
+		a.vm.sendMap(ctx, domainMapCall{Map: published, Relay: true}, []platform.VM{vm})
+	}
+}
+
+func (a *assigner) stopUnits(ctx context.Context, action ownership.StopUnits) {
+	address, ok := a.vm.fleet.address(action.VM.VM)
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	call := stopUnitsCall{Service: action.Server.Service, Server: action.Server.Name, Units: action.Units}
+	var reply stopUnitsReply
+	answered, err := a.vm.calls.Call(callCtx, address, messageStopUnits, call, &reply)
+	if err != nil || answered.Instance != action.VM.Instance {
+		return
+	}
+	slices.Sort(reply.Units)
+	a.enqueue(ctx, ownership.UnitsStopped{Server: action.Server, VM: action.VM, Term: action.Term, Seq: action.Seq, Units: reply.Units})
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -37,6 +37,9 @@
 	gates    *gate.Set
 	router   *router
 	calls    *peer.Client
+	control  *control
+	roles    *roles
+	assigner *assigner
 
 	callers   *listener
 	peers     *listener
@@ -79,7 +82,11 @@
 		calls:    peer.NewClient(identity, options.PeerToken),
 	}
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
-	v.gates = gate.NewSet(owners{v.table}, time.Now)
+	clock := newClock()
+	v.control = newControl(v.follower.State().View)
+	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow)
+	v.roles = newRoles(v, clock)
+	v.assigner = newAssigner(v, clock, v.roles)
 	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
 	unkeyed := &balancers{domain: options.FailureDomain, table: v.table, senders: send, view: v.follower.State().View}
 	v.router = newRouter(v.table, send, unkeyed)
@@ -91,6 +98,7 @@
 func (v *VM) listen() error {
 	handler := caller.New(v.authenticator(), v.limiter(), services{v.follower.State()}, dispatch.New(v.router, unlimitedBudget{}), noObserver{}, v.stopping.Load)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
+	v.registerHandlers(control)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.ControlPath, control)
 	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.gates))
@@ -122,12 +130,32 @@
 	v.background.Go(func() { _ = v.follower.Run(ctx) }) // ends with the context only
 	snapshotter := config.NewSnapshotter(v.platform, v.follower, snapshotPolicy, v.logger, newRandom())
 	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
-	v.background.Go(func() { v.assignStatically(ctx) })
+	v.background.Go(func() { v.roles.run(ctx) })
+	v.background.Go(func() { v.followConfig(ctx) })
+	v.background.Go(func() { v.exchange(ctx) })
+	for range v.options.Workers {
+		v.background.Go(func() { v.assigner.work(ctx) })
+	}
+	v.background.Go(func() { v.assigner.run(ctx) })
 }
 
 // Name returns the name of the VM.
 func (v *VM) Name() string { return v.options.Name }
 
+// followConfig tells the ownership logic about each configuration.
+func (v *VM) followConfig(ctx context.Context) {
+	for {
+		changed := v.follower.State().Changed()
+		v.assigner.enqueue(ctx, ownership.ConfigChanged{Config: ownershipConfig(v.follower.State().View(), v.options.FailureDomain)})
+		v.router.notify()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // CallerAddress returns HOST:PORT of the callers' listener.
 func (v *VM) CallerAddress() string { return v.callers.address() }
 
@@ -152,6 +180,9 @@
 	defer cancel()
 	sleep(ctx, v.options.LeaveDelay)
 	err := v.callers.shutdown(ctx)
+	if !v.assigner.requestStop(ctx) {
+		v.logger.Warn("duties of this VM did not move before the stop timeout")
+	}
 	v.stopWork()
 	v.background.Wait()
 	err = multierr.Append(err, v.peers.shutdown(ctx))
