--- a/internal/check/answers.go
+++ b/internal/check/answers.go
@@ -38,6 +38,7 @@
 	}
 	ends := completeEnds(source, answer.body.Attempt)
 	if len(ends) == 0 {
+		checkCancelled(source, answer, found)
 		return
 	}
 	found.checked++
@@ -50,6 +51,17 @@
 	found.violate(reason, append(eventsOf(ends), answer.event)...)
 }
 
+// checkCancelled finds an answer that was taken from a run which ended early.
+func checkCancelled(source *request, answer entry[trace.Answer], found *findings) {
+	for _, end := range source.ends {
+		if end.body.Cancelled && end.body.Attempt == answer.body.Attempt {
+			reason := fmt.Sprintf("the answer to request %s says ran, but its run was cancelled", answer.body.Request)
+			found.violate(reason, end.event, answer.event)
+			return
+		}
+	}
+}
+
 // source returns the request whose runs an answer comes from.
 func (h *history) source(r *request, answer trace.Answer) *request {
 	if answer.ReplayOf == "" {
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -137,6 +137,12 @@
 	{7, "truncated body", editAnswer("r2", func(a *trace.Answer) { a.Bytes-- })},
 	{7, "replay for another key", editAnswer("r9", func(a *trace.Answer) { a.ReplayOf = "r2" })},
 	{7, "cut without a fault", editAnswer("r2", func(a *trace.Answer) { a.Aborted, a.Outcome = true, trace.Unknown })},
+	{7, "answer of a cancelled run", func(t *testing.T, s *scenario) {
+		change(t, s, func(r *trace.RunEnd) bool {
+			r.Cancelled = r.Request == "r2"
+			return r.Cancelled
+		})
+	}},
 	{7, "two answers", addEvent(5100, "vm-a", trace.Answer{Request: "r2", Outcome: trace.Unknown})},
 	{8, "answer says not run", editAnswer("r2", func(a *trace.Answer) { a.Outcome = trace.NotRun })},
 	{8, "attempt says not run", addEvent(9251, "e2", trace.RunStart{Request: "r6", Attempt: 2, Server: e2, Workspace: "w2"})},
@@ -233,12 +239,18 @@
 }
 
 // Guards against faults being taken for offences: a frozen server whose lease
-// expired, a VM cut off from the log, and a drain of a partitioned domain.
+// expired, a VM cut off from the log that misses a drain and a revision, and runs
+// that ended with the former instance of a server.
 func TestToleratedFaultsHold(t *testing.T) {
 	s := clean()
 	frozen := trace.Grant{Server: p1, Instance: "i1", Unit: 9, Token: trace.Token{Term: 1, Counter: 1}, Expires: 6000 * ms}
 	s.add(5300, "p1", frozen)
 	s.grant(6100, p2, 9, 1, 2)
+	s.attempt(call{id: "x2", at: 6500, vm: "vm-a", key: key2, server: p2}, 1)
+	s.add(6600, "p2", trace.ServerState{Server: p2, Instance: "i1", State: trace.Warm, Bears: 4})
+	s.add(6700, "p2", trace.ServerState{Server: p2, Instance: "i2", State: trace.Cold, Bears: 1})
+	s.add(6750, "p2", trace.Grant{Server: p2, Instance: "i2", Unit: 9, Token: trace.Token{Term: 1, Counter: 3}})
+	s.run(call{id: "x3", at: 6800, key: key2, server: p2})
 	s.add(7000, "p1", trace.Lapse{Server: p1, Instance: "i1", Unit: 9})
 	s.add(10000, "driver", trace.Fault{Phase: trace.Begin, ID: "f2", Kind: trace.FaultVMPartitioned, VM: "vm-b"})
 	s.add(13000, "driver", trace.Fault{Phase: trace.Finished, ID: "f2", Kind: trace.FaultVMPartitioned, VM: "vm-b"})
