--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -110,3 +110,16 @@
 	is.NoErr(Run(strings.NewReader(bench), &text, sizing))
 	is.True(strings.Contains(text.String(), "| 16 KB/s | 0.0002 cores |"))
 }
+
+// Guards against a panic or a table with NaN for strange benchmark output.
+func FuzzRun(f *testing.F) {
+	f.Add(benchOutput)
+	f.Add("BenchmarkMembers/members=NaN-8 1 1 state-B\nBenchmarkMembers/members=Inf-8 1 Inf state-B")
+	f.Fuzz(func(t *testing.T, input string) {
+		var text bytes.Buffer
+		err := Run(strings.NewReader(input), &text, TargetSizing())
+		if err == nil && strings.Contains(text.String(), "NaN") {
+			t.Fatal(text.String())
+		}
+	})
+}
--- a/internal/capacity/parse.go
+++ b/internal/capacity/parse.go
@@ -96,7 +96,7 @@
 	var names []string
 	for _, part := range strings.Split(name, "/") {
 		key, text, found := strings.Cut(part, "=")
-		value, err := strconv.ParseFloat(text, 64)
+		value, err := parseNumber(text)
 		if !found || err != nil {
 			names = append(names, part)
 			continue
@@ -107,14 +107,27 @@
 	return m, m.parseValues(fields[2:])
 }
 
+// maxNumber bounds sizes and amounts. No benchmark reaches it, and sums of squares
+// of larger ones would overflow in a fit.
+const maxNumber = 1e18
+
+func parseNumber(text string) (float64, error) {
+	value, err := strconv.ParseFloat(text, 64)
+	// The comparison is also false for NaN.
+	if err != nil || !(value >= 0 && value <= maxNumber) {
+		return 0, errors.Errorf("%q is not a number from 0 to %g", text, maxNumber)
+	}
+	return value, nil
+}
+
 func (m *Measurement) parseValues(fields []string) error {
 	if len(fields)%2 != 0 {
 		return errors.Errorf("benchmark %s: a value lacks its unit", m.Benchmark)
 	}
 	for i := 0; i < len(fields); i += 2 {
-		amount, err := strconv.ParseFloat(fields[i], 64)
+		amount, err := parseNumber(fields[i])
 		if err != nil {
-			return errors.Errorf("benchmark %s: %q is not a number", m.Benchmark, fields[i])
+			return errors.Wrapf(err, "benchmark %s", m.Benchmark)
 		}
 		m.Values = append(m.Values, Value{amount, fields[i+1]})
 	}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -150,6 +150,27 @@
 	is.True(burn.Rows[0].Windows[0].Alert)
 }
 
+// Guards against counters that change on their way through JSON, and against
+// impossible ones, whose burn rate would be negative.
+func TestReadSamples(t *testing.T) {
+	is := is.New(t)
+	want := SamplesOf(sampleTrace(), halfObjective, DefaultStep)
+	data, err := json.Marshal(want)
+	is.NoErr(err)
+	got, err := ReadSamples(bytes.NewReader(data))
+	is.NoErr(err)
+	is.Equal(got, want)
+	for _, input := range []string{
+		`[{"service":"rota","valid":1}]`,
+		`[{"service":"rota","length_ns":1,"valid":1,"failed":2}]`,
+		`[{"service":"rota","length_ns":1,"valid":1,"failed":1,"slow":1}]`,
+		`[{"service":"rota","length_ns":1,"vlaid":1}]`,
+	} {
+		_, err := ReadSamples(strings.NewReader(input))
+		is.True(err != nil)
+	}
+}
+
 // Guards against wrong figures in the five metrics.
 func TestMetrics(t *testing.T) {
 	is := is.New(t)
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -149,6 +149,19 @@
 	is.Equal(events[3].Body, End{Dropped: 3})
 }
 
+// Guards against a panic when tracing is off or a writer is closed twice.
+func TestWriterOffAndClosedTwice(t *testing.T) {
+	is := is.New(t)
+	var off *Writer
+	off.Record(Stop{Phase: Begin})
+	off.RecordAt(fixedClock(), Stop{Phase: Begin})
+	is.NoErr(off.Close())
+	is.Equal(off.Dropped(), uint64(0))
+	writer := newTestWriter(t, io.Discard, "vm1", 0)
+	is.NoErr(writer.Close())
+	is.NoErr(writer.Close())
+}
+
 type failingOutput struct{}
 
 func (failingOutput) Write([]byte) (int, error) { return 0, errors.New("disk full") }
