--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -1,6 +1,9 @@
 package check
 
 import (
+	"bytes"
+	"flag"
+	"os"
 	"strings"
 	"testing"
 
@@ -26,6 +29,27 @@
 	}
 }
 
+var update = flag.Bool("update", false, "rewrite testdata/clean.jsonl")
+
+// Guards against a change after which traces written earlier can't be read or get
+// another verdict. The file also serves as an example of the format.
+func TestStoredTraceHolds(t *testing.T) {
+	is := is.New(t)
+	const path = "testdata/clean.jsonl"
+	if *update {
+		is.NoErr(os.WriteFile(path, clean().file(t), 0o644))
+	}
+	data, err := os.ReadFile(path)
+	is.NoErr(err)
+	events, err := trace.ReadAll(bytes.NewReader(data), trace.ReaderOptions{File: path})
+	is.NoErr(err)
+	for _, result := range Run(events, DefaultOptions()) {
+		if result.Verdict != Held {
+			t.Error(result)
+		}
+	}
+}
+
 // Guards against an empty trace being taken for a proof.
 func TestEmptyTraceExercisesNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/check/scenario_test.go
+++ b/internal/check/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"testing"
 
@@ -189,21 +190,26 @@
 	s.run(call{id: "q4", at: 29000, key: key1, server: e2, unit: 2, owned: 78})
 }
 
-// merged numbers the events, writes them and reads them back.
-func (s *scenario) merged(t *testing.T) []trace.Event {
+// file numbers the events and writes them.
+func (s *scenario) file(t *testing.T) []byte {
 	t.Helper()
-	is := is.New(t)
-	slices.SortStableFunc(s.events, func(a, b trace.Event) int { return int(a.Time - b.Time) })
+	slices.SortStableFunc(s.events, func(a, b trace.Event) int { return cmp.Compare(a.Time, b.Time) })
 	seq := make(map[string]uint64)
 	var file bytes.Buffer
 	for _, event := range s.events {
 		seq[event.VM]++
 		event.Seq = seq[event.VM]
 		data, err := event.MarshalJSON()
-		is.NoErr(err)
+		is.New(t).NoErr(err)
 		file.Write(append(data, '\n'))
 	}
-	events, err := trace.MergeAll(trace.NewReader(&file, trace.ReaderOptions{}))
-	is.NoErr(err)
+	return file.Bytes()
+}
+
+// merged writes the trace and reads it back.
+func (s *scenario) merged(t *testing.T) []trace.Event {
+	t.Helper()
+	events, err := trace.MergeAll(trace.NewReader(bytes.NewReader(s.file(t)), trace.ReaderOptions{}))
+	is.New(t).NoErr(err)
 	return events
 }
