Add load balancing for services not divided by key

Change: internal/balance with Picker and the policies TwoChoices, Random and LeastReported over one table of servers. The VM's failure domain comes first and is left when its choice is saturated, was refused by its gate, or is slower than twice the median and worse than one elsewhere. A server above 3x the median, or that failed, gets one probe per VM and second. A server without answers for twice its latency counts as that slow, so that a freeze shows before the first late answer.

Also: TestQueueIsFair of internal/admission fails instead of hanging when a request that should have its verdict still waits.

Checked: go test -race passes.

--- a/internal/admission/state_test.go
+++ b/internal/admission/state_test.go
@@ -212,10 +212,21 @@
 	is.Equal(refusal.Reason, QueueFull)
 	_, w, _ := s.enter(start, "small", time.Time{})
 	is.True(w != nil)
-	is.Equal((<-flood[3].settled).refusal.Reason, QueueFull)
+	is.Equal(settled(t, flood[3]).refusal.Reason, QueueFull)
 	s.leave(start, id, good)
-	s.leave(start, (<-flood[0].settled).slot, good)
-	is.True(!(<-w.settled).refusal.Refused()) // second turn, ahead of the backlog
+	s.leave(start, settled(t, flood[0]).slot, good)
+	is.True(!settled(t, w).refusal.Refused()) // second turn, ahead of the backlog
+}
+
+func settled(t *testing.T, w *waiter) verdict {
+	t.Helper()
+	select {
+	case v := <-w.settled:
+		return v
+	default:
+		t.Fatal("the request still waits")
+		return verdict{}
+	}
 }
 
 // Guards against any sequence of events breaking the limit, the queue bound, the
--- /dev/null
+++ b/internal/balance/baseline.go
@@ -0,0 +1,36 @@
+package balance
+
+import "slices"
+
+// random picks uniformly among the servers that take new work.
+func (p *Picker) random(o Options) *server {
+	p.collect(o)
+	if len(p.local) == 0 {
+		return nil
+	}
+	return p.local[p.config.Random.IntN(len(p.local))]
+}
+
+// leastReported picks the server with the fewest reported requests in flight, and
+// at random among equals.
+func (p *Picker) leastReported(o Options) *server {
+	p.collect(o)
+	p.config.Random.Shuffle(len(p.local), func(i, j int) { p.local[i], p.local[j] = p.local[j], p.local[i] })
+	var least *server
+	for _, s := range p.local {
+		if least == nil || s.reported < least.reported {
+			least = s
+		}
+	}
+	return least
+}
+
+// collect puts every server that may be chosen into the scratch list.
+func (p *Picker) collect(o Options) {
+	p.local = p.local[:0]
+	for _, s := range p.servers {
+		if s.usable() && !slices.Contains(o.Exclude, s.Name) {
+			p.local = append(p.local, s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/balance/picker_test.go
@@ -0,0 +1,178 @@
+package balance
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const usual = 10 * time.Millisecond
+
+// clock is a time that tests move.
+type clock struct{ now time.Time }
+
+// newTestPicker returns a Picker with 5 servers in domain a and 5 in domain b, all
+// with the usual latency.
+func newTestPicker(t testing.TB, policy Policy) (*Picker, *clock) {
+	c := &clock{now: time.Unix(1_000_000, 0)}
+	p, err := New(Config{
+		FailureDomain: "a", Policy: policy, Slots: 4,
+		Random: rand.New(rand.NewPCG(1, 1)),
+		Now:    func() time.Time { return c.now },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var servers []Server
+	for i := range 10 {
+		servers = append(servers, Server{Name: strconv.Itoa(i), FailureDomain: "ab"[i/5 : i/5+1]})
+	}
+	p.SetServers(servers)
+	for _, s := range p.servers {
+		s.latency = usual
+	}
+	return p, c
+}
+
+// picks returns how often each server was picked; the requests stay in flight.
+func picks(t testing.TB, p *Picker, n int, o Options) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		choice, err := p.Pick(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts[choice.Server().Name]++
+	}
+	return counts
+}
+
+// Guards against work for servers that take none, under every policy.
+func TestStatesRespected(t *testing.T) {
+	for policy := TwoChoices; policy <= LeastReported; policy++ {
+		is := is.New(t)
+		p, _ := newTestPicker(t, policy)
+		for i := range 8 {
+			p.SetState(strconv.Itoa(i), []State{Draining, Leaving}[i%2])
+		}
+		p.Report("1", Report{State: Warm}) // a late report
+		counts := picks(t, p, 50, Options{Exclude: []string{"9"}})
+		is.Equal(counts, map[string]int{"8": 50})
+		p.SetState("8", Leaving)
+		_, err := p.Pick(Options{Exclude: []string{"9"}})
+		is.True(errors.Is(err, ErrNoServer))
+	}
+}
+
+// Guards against more than one request of this VM at a cold server while others
+// are free.
+func TestColdServerGetsOneRequest(t *testing.T) {
+	is := is.New(t)
+	p, _ := newTestPicker(t, TwoChoices)
+	p.SetState("0", Cold)
+	is.Equal(picks(t, p, 17, Options{})["0"], 1)
+}
+
+// Guards against traffic that crosses domains without need, and against traffic
+// that stays in an overloaded or empty one.
+func TestDomainPreference(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPicker(t, TwoChoices)
+	inDomain := func(counts map[string]int) (n int) {
+		for i := range 5 {
+			n += counts[strconv.Itoa(i)]
+		}
+		return n
+	}
+	is.Equal(inDomain(picks(t, p, 20, Options{})), 20)
+	is.Equal(inDomain(picks(t, p, 20, Options{})), 0) // every local slot is in use
+
+	p, _ = newTestPicker(t, TwoChoices)
+	for i := range 5 {
+		p.find(strconv.Itoa(i)).fullUntil = c.now.Add(time.Second)
+	}
+	is.Equal(inDomain(picks(t, p, 10, Options{})), 0) // refused by the gates
+
+	p, _ = newTestPicker(t, TwoChoices)
+	for i := range 5 {
+		p.find(strconv.Itoa(i)).latency = 25 * time.Millisecond
+	}
+	is.True(inDomain(picks(t, p, 10, Options{})) < 3) // slowed by queues of other VMs
+}
+
+// Guards against a straggler or failed server getting more than probes, and
+// against it never coming back.
+func TestStragglerGetsProbesOnly(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPicker(t, TwoChoices)
+	p.find("0").latency = 4 * usual
+	is.Equal(picks(t, p, 5, Options{NoProbe: true})["0"], 0)
+	probe, err := p.Pick(Options{})
+	is.NoErr(err)
+	is.True(probe.Probe())
+	is.Equal(probe.Server().Name, "0")
+	is.Equal(picks(t, p, 5, Options{})["0"], 0)
+	c.now = c.now.Add(probeInterval - 1)
+	probe.Done(Result{Kind: Answered, Latency: 4 * usual})
+	is.Equal(picks(t, p, 2, Options{})["0"], 0)
+	c.now = c.now.Add(1)
+	probe, _ = p.Pick(Options{})
+	is.True(probe.Probe())
+	probe.Done(Result{Kind: Answered, Latency: usual})
+	is.True(!p.find("0").failed && p.find("0").latency == usual)
+	probe.server.begin(c.now)
+	probe.Done(Result{Kind: Failed})
+	is.Equal(picks(t, p, 5, Options{})["0"], 0)
+}
+
+// Guards against requests piling up at a server that froze, before any answer shows it.
+func TestFrozenServerIsAvoided(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPicker(t, TwoChoices)
+	frozen := p.find("0")
+	frozen.begin(c.now)
+	c.now = c.now.Add(5 * usual)
+	is.Equal(picks(t, p, 10, Options{NoProbe: true})["0"], 0)
+}
+
+// Guards against a request with no other choice being refused although a server
+// takes work.
+func TestStragglerAsLastResort(t *testing.T) {
+	is := is.New(t)
+	p, _ := newTestPicker(t, TwoChoices)
+	p.find("0").failed = true
+	for i := 1; i < 10; i++ {
+		p.SetState(strconv.Itoa(i), Leaving)
+	}
+	is.Equal(picks(t, p, 3, Options{NoProbe: true})["0"], 3)
+}
+
+// Guards against load reports deciding more than ties.
+func TestReportsBreakTies(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPicker(t, TwoChoices)
+	for i := range 10 {
+		p.Report(strconv.Itoa(i), Report{InFlight: 3})
+	}
+	p.SetServers([]Server{{"0", "a"}, {"1", "a"}})
+	p.Report("0", Report{InFlight: 0})
+	v := view{now: c.now, median: usual, slots: 4}
+	is.Equal(v.better(p.find("1"), p.find("0")), p.find("0"))
+	is.Equal(picks(t, p, 1, Options{})["0"], 1)
+	is.Equal(picks(t, p, 1, Options{})["1"], 1) // own requests in flight count more
+	p.Report("0", Report{InFlight: 9, Age: 2 * reportLifetime})
+	is.Equal(v.better(p.find("0"), p.find("1")), p.find("0")) // too old
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	p, _ := newTestPicker(b, TwoChoices)
+	b.ReportAllocs()
+	for b.Loop() {
+		choice, _ := p.Pick(Options{})
+		choice.Done(Result{Kind: Answered, Latency: usual})
+	}
+}
--- /dev/null
+++ b/internal/balance/server.go
@@ -0,0 +1,109 @@
+package balance
+
+import "time"
+
+const (
+	// latencyWeight is the share of a new sample in the moving average. At 0.2 two
+	// answers of a server slowed 10 times make it a straggler.
+	latencyWeight = 0.2
+	// stallFactor: a server with requests in flight and no answer for this multiple
+	// of its latency counts as that slow.
+	stallFactor = 2
+	// reportLifetime is the age at which a load report stops breaking ties.
+	reportLifetime = time.Second
+	// probeInterval is the time between two probes of one server by one VM. Probes
+	// are callers' requests, so they have to stay rare among the slowest 0.1%.
+	probeInterval = time.Second
+	// minFullTime and maxFullTime bound how long a refusal marks a server as full.
+	minFullTime = time.Millisecond
+	maxFullTime = 100 * time.Millisecond
+)
+
+// server is what the VM knows of one backend server.
+type server struct {
+	Server
+	state    State
+	inFlight int
+	// latency is a moving average; 0 before the first answer.
+	latency time.Duration
+	// progress is when the last request ended, or the first of the present ones began.
+	progress   time.Time
+	reported   int
+	reportedAt time.Time
+	fullUntil  time.Time
+	// failed is set by a failure and cleared by the next answer.
+	failed    bool
+	nextProbe time.Time
+}
+
+func (s *server) usable() bool { return s.state == Warm || s.state == Cold }
+
+// expected is the latency that the next request has to expect; usual stands in
+// before the first answer.
+func (s *server) expected(now time.Time, usual time.Duration) time.Duration {
+	known := s.latency
+	if known == 0 {
+		known = usual
+	}
+	if s.inFlight == 0 {
+		return known
+	}
+	if stalled := now.Sub(s.progress); stalled > stallFactor*known {
+		return stalled
+	}
+	return known
+}
+
+// score orders servers; lower is better.
+func (s *server) score(now time.Time, usual time.Duration) float64 {
+	return float64(s.inFlight+1) * float64(s.expected(now, usual))
+}
+
+// saturated reports whether one more request would have to wait.
+func (s *server) saturated(now time.Time, slots int) bool {
+	if s.state == Cold {
+		slots = 1
+	}
+	return s.inFlight >= slots || now.Before(s.fullUntil)
+}
+
+func (s *server) begin(now time.Time) {
+	if s.inFlight == 0 {
+		s.progress = now
+	}
+	s.inFlight++
+}
+
+func (s *server) end(now time.Time, probe bool, r Result) {
+	s.inFlight--
+	s.progress = now
+	switch r.Kind {
+	case Answered:
+		s.failed = false
+		s.observe(r.Latency, probe)
+	case Refused:
+		s.fullUntil = now.Add(min(max(r.RetryAfter, minFullTime), maxFullTime))
+	case Failed:
+		s.failed = true
+		s.nextProbe = now.Add(probeInterval)
+	case Abandoned:
+	}
+}
+
+func (s *server) observe(sample time.Duration, probe bool) {
+	// Probes are too rare to average: one good probe brings a server back.
+	if probe || s.latency == 0 {
+		s.latency = max(sample, 1)
+		return
+	}
+	s.latency += time.Duration(latencyWeight * float64(sample-s.latency))
+}
+
+func (s *server) setState(state State) {
+	if s.state != state && state == Cold {
+		// The restarted process has neither the failures nor the latency of the old.
+		s.failed = false
+		s.latency = 0
+	}
+	s.state = state
+}
