--- /dev/null
+++ b/internal/quota/policy.go
@@ -0,0 +1,24 @@
+package quota
+
+import "time"
+
+// Policy selects how far requests are kept from finding no token.
+type Policy struct {
+	// MaxWait is the longest time that a request waits for a batch; zero refuses
+	// at once.
+	MaxWait time.Duration
+	// Prefetch asks for the next batch before the current one is used up.
+	Prefetch bool
+	// MaxDefer is the longest time for which a keeper holds back a reply that it
+	// can't fill yet.
+	MaxDefer time.Duration
+}
+
+// DefaultPolicy is used in production. MaxWait leaves room for one exchange with
+// the own keeper and one between failure domains; MaxDefer is below MaxWait so
+// that the reply still reaches waiting requests.
+var DefaultPolicy = Policy{MaxWait: 10 * time.Millisecond, Prefetch: true, MaxDefer: 6 * time.Millisecond}
+
+// PlainPolicy asks only when no token is left and refuses until the batch is
+// there. It is the baseline of the measurements.
+var PlainPolicy = Policy{}
--- /dev/null
+++ b/internal/quota/safety_test.go
@@ -0,0 +1,137 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func testKeeper(vms, domains []string) *Keeper {
+	return NewKeeper(KeeperConfig{
+		Workspace: "w", Domain: "d", Term: 2, Limit: Limit{Rate: 8, Burst: 8}, VMs: vms, Domains: domains,
+		LeaseUntil: epoch.Add(3 * time.Second), Policy: DefaultPolicy,
+	}, epoch)
+}
+
+func syncOf(vm string, seq uint64, batches ...BatchState) Sync {
+	return Sync{Workspace: "w", Holder: vm, Instance: 1, Term: 2, Seq: seq, Want: 20, Complete: true, Batches: batches}
+}
+
+func lentBy(out []Envelope) int64 {
+	var sum int64
+	for _, e := range out {
+		if e.Reply != nil {
+			sum += e.Reply.tokens()
+		}
+	}
+	return sum
+}
+
+// Guards against a paused keeper that lends after its successor has started.
+func TestKeeperWithoutLeaseLendsNothing(t *testing.T) {
+	is := is.New(t)
+	k := testKeeper(nil, nil)
+	is.True(lentBy(k.HandleSync(syncOf("vm0", 1), epoch.Add(2999*time.Millisecond))) > 0)
+	is.Equal(lentBy(k.HandleSync(syncOf("vm1", 1), epoch.Add(3*time.Second))), int64(0))
+}
+
+// Guards against a new keeper lending the tokens that a silent VM still has, and
+// against one VM having more than a new keeper assumes.
+func TestNewKeeperLeavesRoomForSilentHolders(t *testing.T) {
+	is := is.New(t)
+	k := testKeeper([]string{"vm0", "vm1", "vm2"}, nil)
+	is.Equal(lentBy(k.HandleSync(syncOf("vm0", 1), epoch.Add(1900*time.Millisecond))), int64(0)) // two silent
+	k.HandleSync(syncOf("vm1", 1), epoch.Add(1910*time.Millisecond))
+	k.advance(epoch.Add(2049 * time.Millisecond))
+	is.True(k.bucket.level+float64(k.bucket.lent) <= 4) // one silent: half of the burst
+	k.advance(epoch.Add(3 * time.Second))
+	is.True(k.bucket.level+float64(k.bucket.lent) > 7) // all former batches expired
+	k.HandleSync(syncOf("vm2", 1), epoch.Add(2999*time.Millisecond))
+	k.HandleSync(syncOf("vm2", 2), epoch.Add(2999*time.Millisecond))
+	is.True(k.held["vm2"] <= 4)
+}
+
+// Guards against inherited tokens being forgotten, or returned to a bucket that
+// they may not stem from.
+func TestInheritedTokensCountAndDoNotReturn(t *testing.T) {
+	is := is.New(t)
+	k := testKeeper([]string{"vm0"}, nil)
+	id := BatchID{Term: 1, Seq: 9}
+	now := epoch.Add(time.Millisecond)
+	k.HandleSync(syncOf("vm0", 10, BatchState{ID: id, Tokens: 5, Spent: 2}), now)
+	is.Equal(k.bucket.lent, int64(3))
+	before := k.bucket.level
+	k.HandleSync(syncOf("vm0", 11, BatchState{ID: id, Tokens: 5, Spent: 2, Returned: 3}), now)
+	is.Equal(k.bucket.lent, int64(0))
+	is.True(k.bucket.level <= before)
+}
+
+// Guards against the time of an expired batch being credited to the room that its
+// expiry makes.
+func TestExpiryDoesNotAccrueBackwards(t *testing.T) {
+	is := is.New(t)
+	k := testKeeper(nil, nil)
+	k.advance(epoch.Add(time.Second))
+	for _, vm := range []string{"vm0", "vm1"} {
+		sync := syncOf(vm, 1)
+		sync.Need = 4
+		k.HandleSync(sync, epoch.Add(time.Second))
+	}
+	lent := k.bucket.lent
+	expiry := epoch.Add(time.Second + BatchLifetime + ClockMargin)
+	k.advance(expiry.Add(time.Millisecond))
+	is.True(lent >= 6)
+	is.True(k.bucket.level <= float64(8-lent)+0.01)
+}
+
+// Guards against a holder that spends past the keeper's expiry when the reply was
+// slow: the lifetime counts from the sending of the request.
+func TestHolderExpiryCountsFromSending(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder("vm0", "d", 1, PlainPolicy)
+	h.Take("w", epoch)
+	out, _ := h.Poll(epoch)
+	reply := Reply{Workspace: "w", Seq: out[0].Sync.Seq, Grants: []Grant{{Tokens: 5, Lifetime: BatchLifetime}}}
+	h.HandleReply(reply, epoch.Add(400*time.Millisecond))
+	is.Equal(h.Take("w", epoch.Add(BatchLifetime-1)).Outcome, Granted)
+	is.Equal(h.Take("w", epoch.Add(BatchLifetime)).Outcome, Refused)
+}
+
+// Guards against tokens of a former keeper that arrive after the holder told the
+// new keeper what it has.
+func TestHolderIgnoresFormerKeeper(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder("vm0", "d", 1, PlainPolicy)
+	h.HandleAsk(Ask{Workspace: "w", Domain: "d", Term: 1}, epoch)
+	h.Take("w", epoch)
+	out, _ := h.Poll(epoch)
+	h.HandleAsk(Ask{Workspace: "w", Domain: "d", Term: 2}, epoch)
+	h.Poll(epoch)
+	reply := Reply{Workspace: "w", Term: 1, Seq: out[0].Sync.Seq, Grants: []Grant{{Tokens: 5, Lifetime: BatchLifetime}}}
+	h.HandleReply(reply, epoch)
+	is.Equal(h.Take("w", epoch).Outcome, Refused)
+	next := h.entry("w").borrower.pending
+	reply.Seq = next.Seq
+	h.HandleReply(reply, epoch) // the right number under the former term
+	is.Equal(h.Take("w", epoch).Outcome, Refused)
+}
+
+// Guards against a lender counting a new keeper's answer as complete while VMs may
+// still have what the former keeper drew.
+func TestDrawIsIncompleteDuringRecovery(t *testing.T) {
+	is := is.New(t)
+	k := testKeeper(nil, []string{"other"})
+	complete := func(at time.Duration) bool {
+		out := k.HandleAsk(Ask{Workspace: "w", Domain: "other", Term: uint64(at)}, epoch.Add(at))
+		for _, e := range out {
+			if e.Sync != nil {
+				return e.Sync.Complete
+			}
+		}
+		t.Fatal("no sync was sent")
+		return false
+	}
+	is.True(!complete(2 * time.Second))
+	is.True(complete(2100 * time.Millisecond))
+}
