--- /dev/null
+++ b/internal/cli/get.go
@@ -0,0 +1,102 @@
+package cli
+
+import (
+	"context"
+	"flag"
+
+	"fireflyfield/internal/operator/api"
+	"fireflyfield/internal/operator/client"
+	"fireflyfield/internal/resource"
+
+	"github.com/google/subcommands"
+)
+
+// Words that get accepts instead of a kind.
+const (
+	wordAll    = "all"
+	wordStatus = "status"
+)
+
+// getCommand prints resources.
+type getCommand struct {
+	connection
+	output string
+}
+
+// Name implements subcommands.Command.
+func (*getCommand) Name() string { return "get" }
+
+// Synopsis implements subcommands.Command.
+func (*getCommand) Synopsis() string { return "print resources with their status" }
+
+// Usage implements subcommands.Command.
+func (*getCommand) Usage() string {
+	return `get KIND [NAME]:
+  Prints resources with their status. KIND is one of ` + kindNames() + `, or
+  "all", or "status" for the VMs, backend servers and workspaces. Tables list the
+  worst first.
+  Example: fireflyfield get Service entretien -o yaml
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *getCommand) SetFlags(fs *flag.FlagSet) {
+	c.register(fs)
+	fs.StringVar(&c.output, "o", formatTable, "output format: table, yaml or json")
+}
+
+// Check implements Checker.
+func (c *getCommand) Check(fs *flag.FlagSet) []string {
+	faults := append(c.check(), checkArguments(fs.Args(), 1, 2, "KIND [NAME]", wordAll, wordStatus)...)
+	if fs.NArg() == 2 && (fs.Arg(0) == wordAll || fs.Arg(0) == wordStatus) {
+		faults = append(faults, fs.Arg(0)+" takes no NAME")
+	}
+	return append(faults, checkFormat(c.output, formatTable, formatYAML, formatJSON)...)
+}
+
+// Execute implements subcommands.Command.
+func (c *getCommand) Execute(ctx context.Context, fs *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	streams := streamsOf(args)
+	ctx, cancel := c.context(ctx)
+	defer cancel()
+	vms, err := c.client()
+	if err != nil {
+		return fail(streams, err)
+	}
+	if fs.Arg(0) == wordStatus {
+		return c.status(ctx, vms, streams)
+	}
+	list, err := fetch(ctx, vms, fs)
+	if err != nil {
+		return fail(streams, err)
+	}
+	if err := printResources(streams.Out, c.output, list.Items); err != nil {
+		return fail(streams, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *getCommand) status(ctx context.Context, vms *client.Client, streams Streams) subcommands.ExitStatus {
+	overview, err := vms.Status(ctx)
+	if err != nil {
+		return fail(streams, err)
+	}
+	if err := printOverview(streams.Out, c.output, overview); err != nil {
+		return fail(streams, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func fetch(ctx context.Context, vms *client.Client, fs *flag.FlagSet) (api.List, error) {
+	if fs.Arg(0) == wordAll {
+		return vms.List(ctx, "")
+	}
+	kind, err := parseKind(fs.Arg(0))
+	if err != nil {
+		return api.List{}, err
+	}
+	if fs.NArg() == 1 {
+		return vms.List(ctx, kind)
+	}
+	return vms.Get(ctx, resource.ID{Kind: kind, Name: fs.Arg(1)})
+}
--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,102 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"fireflyfield/internal/settings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+)
+
+const program = "fireflyfield"
+
+// Streams is where a command writes. Run passes it as the first argument of
+// Execute.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// Checker is a command that checks its settings before it runs.
+type Checker interface {
+	// Check returns every fault of the settings and arguments, one line each.
+	Check(fs *flag.FlagSet) []string
+}
+
+// Run executes the command line without the program name and returns the exit
+// status: 0 for success, 1 for a failure, 2 for a faulty command line.
+func Run(ctx context.Context, args []string, streams Streams) int {
+	if len(args) == 0 {
+		newCommander(streams.Err).Explain(streams.Err)
+		return int(subcommands.ExitUsageError)
+	}
+	name := args[0]
+	for _, command := range Commands() {
+		if command.Name() == name {
+			return int(runCommand(ctx, command, args[1:], streams))
+		}
+	}
+	if isHelp(name) {
+		return int(help(ctx, args[1:], streams))
+	}
+	fmt.Fprintf(streams.Err, "%s: unknown subcommand %q (see: %s help)\n", program, name, program)
+	return int(subcommands.ExitUsageError)
+}
+
+func runCommand(ctx context.Context, command subcommands.Command, args []string, streams Streams) subcommands.ExitStatus {
+	fs := flag.NewFlagSet(command.Name(), flag.ContinueOnError)
+	command.SetFlags(fs)
+	faults, err := settings.Parse(fs, args)
+	if errors.Is(err, flag.ErrHelp) {
+		newCommander(streams.Out).ExplainCommand(streams.Out, command)
+		return subcommands.ExitSuccess
+	}
+	if checker, ok := command.(Checker); ok {
+		faults = append(faults, checker.Check(fs)...)
+	}
+	if len(faults) > 0 {
+		fmt.Fprintf(streams.Err, "%s %s: %s (see: %s help %s)\n", program, command.Name(), strings.Join(faults, "; "), program, command.Name())
+		return subcommands.ExitUsageError
+	}
+	return command.Execute(ctx, fs, streams)
+}
+
+func isHelp(name string) bool {
+	return name == "help" || name == "-h" || name == "-help" || name == "--help"
+}
+
+func help(ctx context.Context, args []string, streams Streams) subcommands.ExitStatus {
+	fs := flag.NewFlagSet("help", flag.ContinueOnError)
+	fs.SetOutput(streams.Err)
+	if err := fs.Parse(args); err != nil {
+		return subcommands.ExitUsageError
+	}
+	return newCommander(streams.Out).HelpCommand().Execute(ctx, fs)
+}
+
+// newCommander returns the commander that writes the help texts.
+func newCommander(output io.Writer) *subcommands.Commander {
+	commander := subcommands.NewCommander(flag.NewFlagSet(program, flag.ContinueOnError), program)
+	commander.Output = output
+	commander.Error = output
+	commander.Register(commander.HelpCommand(), "")
+	for _, command := range Commands() {
+		commander.Register(command, "")
+	}
+	return commander
+}
+
+// streamsOf returns the streams that Run passed.
+func streamsOf(args []any) Streams { return args[0].(Streams) }
+
+// fail writes one failure and returns its exit status.
+func fail(streams Streams, err error) subcommands.ExitStatus {
+	fmt.Fprintf(streams.Err, "%s: %v\n", program, err)
+	return subcommands.ExitFailure
+}
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -106,10 +106,16 @@
 	return Record{Version: RecordVersion, ID: id, Seen: seen, Changes: changes}
 }
 
-// Digest returns a hash of the changes, by which a reused identifier is told from
-// a repeated request.
+// Digest returns a hash of what the changes do, by which a reused identifier is
+// told from a repeated request. The base revisions are left out: whoever repeats
+// an accepted request may have read the new revisions.
 func (r Record) Digest() uint64 {
-	data, err := encoding.Marshal(r.Changes)
+	changes := make([]Change, len(r.Changes))
+	for i, change := range r.Changes {
+		change.Base = 0
+		changes[i] = change
+	}
+	data, err := encoding.Marshal(changes)
 	if err != nil {
 		return 0
 	}
