--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -1,27 +1,25 @@
+// Package cli implements the subcommands of the fireflyfield command.
 package cli
 
-import (
-	"context"
-	"flag"
+import "github.com/google/subcommands"
 
-	"github.com/google/subcommands"
+// Exit statuses beyond those of package subcommands.
+const (
+	// ExitNotKnown means that the decision on a change is not known yet.
+	ExitNotKnown subcommands.ExitStatus = 3
 )
 
-// Commands returns every subcommand.
+// Commands returns every subcommand in the order of the help text.
 func Commands() []subcommands.Command {
 	return []subcommands.Command{
+		&applyCommand{},
+		&getCommand{},
+		&watchCommand{},
+		&deleteCommand{},
+		&validateCommand{},
 		&serveCommand{},
 		&devCommand{},
 		&standinCommand{},
+		&versionCommand{},
 	}
 }
-
-// Main runs the command line and returns the exit status.
-func Main() int {
-	for _, command := range Commands() {
-		subcommands.Register(command, "")
-	}
-	subcommands.Register(subcommands.HelpCommand(), "")
-	flag.Parse()
-	return int(subcommands.Execute(context.Background()))
-}
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -4,9 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -28,15 +25,11 @@
 
 // Usage implements subcommands.Command.
 func (*devCommand) Usage() string {
-	return `dev [-example dakar|serra-sul] [-listen HOST:PORT]
-
-Run stand-ins for the platform and the backend servers and one VM for each
-failure domain on loopback. Print "ready URL" and a curl line that works as
-pasted. Stop with SIGINT or SIGTERM.
-
-Example:
-  fireflyfield dev -example serra-sul -listen 127.0.0.1:8080
-
+	return `dev [-example dakar|serra-sul] [-listen HOST:PORT]:
+  Runs stand-ins for the platform and the backend servers and one VM for each
+  failure domain on loopback. Prints "ready URL" and a curl line that works as
+  pasted. Stops with SIGINT or SIGTERM.
+  Example: fireflyfield dev -example serra-sul -listen 127.0.0.1:8080
 `
 }
 
@@ -49,26 +42,35 @@
 	fs.StringVar(&c.logLevel, "log-level", "warn", "debug, info, warn or error")
 }
 
-// Execute implements subcommands.Command.
-func (c *devCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := prepare(fs); err != nil {
-		return usageError(err)
+// Check implements Checker.
+func (c *devCommand) Check(fs *flag.FlagSet) []string {
+	var faults []string
+	if !dev.Exists(c.options.Example) {
+		faults = append(faults, fmt.Sprintf("-example: %q is neither dakar nor serra-sul", c.options.Example))
 	}
 	logger, err := newLogger(c.logLevel, "console")
 	if err != nil {
-		return usageError(err)
+		faults = append(faults, err.Error())
 	}
 	c.options.Logger = logger
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	if fs.NArg() > 0 {
+		faults = append(faults, "there are no arguments besides flags")
+	}
+	return faults
+}
+
+// Execute implements subcommands.Command.
+func (c *devCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	streams := streamsOf(args)
 	cluster, err := dev.Start(ctx, c.options)
 	if err != nil {
-		return failure(err)
+		return fail(streams, err)
 	}
-	fmt.Printf("ready http://%s\n%s\n", cluster.VMs[0].CallerAddress(), cluster.SampleCommand())
+	fmt.Fprintf(streams.Out, "ready http://%s\n%s\n", cluster.VMs[0].CallerAddress(), cluster.SampleCommand())
+	fmt.Fprintf(streams.Out, "operators: fireflyfield get Service -address %s\n", cluster.VMs[0].OperatorAddress())
 	<-ctx.Done()
 	if err := cluster.Stop(context.WithoutCancel(ctx)); err != nil {
-		return failure(err)
+		return fail(streams, err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,11 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
+	"go.uber.org/multierr"
 
 	"fireflyfield/internal/vm"
 )
@@ -28,15 +26,10 @@
 
 // Usage implements subcommands.Command.
 func (*serveCommand) Usage() string {
-	return `serve -name NAME -failure-domain DOMAIN -platform HOST:PORT [flags]
-
-Run one VM until SIGINT or SIGTERM, then stop gracefully. One line with the
-addresses is printed when the VM is ready.
-
-Example:
-  fireflyfield serve -name vm-1 -failure-domain plateau -platform 10.0.0.5:7000 \
-    -caller-listen 10.0.1.1:8080 -peer-listen 10.0.1.1:8081
-
+	return `serve -name NAME -failure-domain DOMAIN -platform HOST:PORT [flags]:
+  Runs one VM until SIGINT or SIGTERM, then stops gracefully. One line with the
+  addresses is printed when the VM is ready.
+  Example: fireflyfield serve -name vm-1 -failure-domain plateau -platform 10.0.0.5:7000
 `
 }
 
@@ -46,9 +39,9 @@
 	fs.StringVar(&o.Name, "name", "", "name of this VM in the platform's list")
 	fs.StringVar(&o.FailureDomain, "failure-domain", "", "failure domain of this VM")
 	fs.StringVar(&o.Platform, "platform", "", "HOST:PORT of the platform's service")
-	fs.StringVar(&o.CallerListen, "caller-listen", "127.0.0.1:8080", "HOST:PORT of the callers' listener")
-	fs.StringVar(&o.PeerListen, "peer-listen", "127.0.0.1:8081", "HOST:PORT of the listener for other VMs")
-	fs.StringVar(&o.OperatorListen, "operator-listen", "127.0.0.1:8082", "HOST:PORT of the operators' listener")
+	fs.StringVar(&o.CallerListen, "caller-listen", "127.0.0.1:7401", "HOST:PORT of the callers' listener")
+	fs.StringVar(&o.PeerListen, "peer-listen", "127.0.0.1:7402", "HOST:PORT of the listener for other VMs")
+	fs.StringVar(&o.OperatorListen, "operator-listen", DefaultOperatorAddress, "HOST:PORT of the operators' listener")
 	fs.StringVar(&o.PeerToken, "peer-token", "", "shared secret of the VMs; empty accepts every VM")
 	fs.StringVar(&o.OperatorToken, "operator-token", "", "token that operators send; needed unless -operator-listen is a loopback address")
 	fs.DurationVar(&o.StopTimeout, "stop-timeout", vm.DefaultStopTimeout, "longest time of a graceful stop")
@@ -57,31 +50,36 @@
 	fs.StringVar(&c.logFormat, "log-format", "json", "json or console")
 }
 
-// Execute implements subcommands.Command.
-func (c *serveCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := prepare(fs); err != nil {
-		return usageError(err)
+// Check implements Checker.
+func (c *serveCommand) Check(fs *flag.FlagSet) []string {
+	var faults []string
+	for _, fault := range multierr.Errors(c.options.Validate()) {
+		faults = append(faults, fault.Error())
 	}
 	logger, err := newLogger(c.logLevel, c.logFormat)
 	if err != nil {
-		return usageError(err)
+		faults = append(faults, err.Error())
 	}
 	c.options.Logger = logger
-	if err := c.options.Validate(); err != nil {
-		return usageError(err)
+	if fs.NArg() > 0 {
+		faults = append(faults, "there are no arguments besides flags")
 	}
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	return faults
+}
+
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	streams := streamsOf(args)
 	started, err := vm.Start(c.options)
 	if err != nil {
-		return failure(err)
+		return fail(streams, err)
 	}
 	if started.AwaitReady(ctx) == nil {
-		fmt.Printf("ready http://%s peer=%s operator=%s\n", started.CallerAddress(), started.PeerAddress(), started.OperatorAddress())
+		fmt.Fprintf(streams.Out, "ready http://%s peer=%s operator=%s\n", started.CallerAddress(), started.PeerAddress(), started.OperatorAddress())
 	}
 	<-ctx.Done()
 	if err := started.Stop(context.WithoutCancel(ctx)); err != nil {
-		return failure(err)
+		return fail(streams, err)
 	}
 	return subcommands.ExitSuccess
 }
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -6,9 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,7 +16,11 @@
 )
 
 // standinCommand runs one stand-in of an outside system.
-type standinCommand struct{}
+type standinCommand struct {
+	listen   string
+	platform platformstandin.Options
+	backend  backendstandin.Options
+}
 
 // Name implements subcommands.Command.
 func (*standinCommand) Name() string { return "standin" }
@@ -29,82 +30,66 @@
 
 // Usage implements subcommands.Command.
 func (*standinCommand) Usage() string {
-	return `standin platform|backend [flags]
-
-Run one stand-in for development and tests. It prints "ready URL".
-"standin platform -h" and "standin backend -h" list the flags.
-
-Examples:
-  fireflyfield standin platform -listen 127.0.0.1:7000
-  fireflyfield standin backend -listen 127.0.0.1:9001 -service rota -server rota-1
-
+	return `standin platform|backend [flags]:
+  Runs one stand-in for development and tests. Prints "ready URL".
+  Example: fireflyfield standin platform -listen 127.0.0.1:7000
+  Example: fireflyfield standin backend -listen 127.0.0.1:9001 -service rota -server rota-1
 `
 }
 
 // SetFlags implements subcommands.Command.
-func (*standinCommand) SetFlags(*flag.FlagSet) {}
-
-// Execute implements subcommands.Command.
-func (*standinCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	switch fs.Arg(0) {
-	case "platform":
-		return runPlatform(ctx, fs.Args()[1:])
-	case "backend":
-		return runBackend(ctx, fs.Args()[1:])
-	default:
-		return usageError(errors.Errorf("standin %q is neither platform nor backend", fs.Arg(0)))
-	}
+func (c *standinCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&c.listen, "listen", "127.0.0.1:0", "HOST:PORT to listen on")
+	fs.IntVar(&c.platform.RetainRecords, "retain-records", 0, "platform: records kept in each stream; 0 keeps all")
+	fs.DurationVar(&c.platform.ListLag, "list-lag", 0, "platform: delay of changes of the VM list")
+	fs.StringVar(&c.backend.Service, "service", "", "backend: name of the service")
+	fs.StringVar(&c.backend.Name, "server", "", "backend: name of the backend server")
+	fs.BoolVar(&c.backend.Keyed, "keyed", false, "backend: the service is divided by key")
+	fs.BoolVar(&c.backend.ChecksGrants, "checks-grants", false, "backend: refuse requests without a grant in force")
+	fs.IntVar(&c.backend.Slots, "slots", 4, "backend: requests that run at once when warm")
+	fs.DurationVar(&c.backend.RunTime, "run-time", 2*time.Millisecond, "backend: time that a request takes")
+	fs.IntVar(&c.backend.WarmAfter, "warm-after", 20, "backend: answers that end a cold start")
+	fs.DurationVar(&c.backend.LoadLag, "load-lag", 0, "backend: age that a load report may reach")
 }
 
-func runPlatform(ctx context.Context, args []string) subcommands.ExitStatus {
-	fs := flag.NewFlagSet("standin platform", flag.ContinueOnError)
-	var options platformstandin.Options
-	address := fs.String("listen", "127.0.0.1:7000", "HOST:PORT to listen on")
-	fs.IntVar(&options.RetainRecords, "retain-records", 0, "records kept in each stream; 0 keeps all")
-	fs.DurationVar(&options.ListLag, "list-lag", 0, "delay of changes of the VM list")
-	if err := parse(fs, args); err != nil {
-		return usageError(err)
+// Check implements Checker.
+func (c *standinCommand) Check(fs *flag.FlagSet) []string {
+	switch {
+	case fs.NArg() != 1 || fs.Arg(0) != "platform" && fs.Arg(0) != "backend":
+		return []string{"the one argument is platform or backend"}
+	case fs.Arg(0) == "backend" && (c.backend.Service == "" || c.backend.Name == ""):
+		return []string{"-service and -server are needed"}
+	default:
+		return nil
 	}
-	return serveStandin(ctx, *address, platformstandin.New(options))
 }
 
-func runBackend(ctx context.Context, args []string) subcommands.ExitStatus {
-	fs := flag.NewFlagSet("standin backend", flag.ContinueOnError)
-	var options backendstandin.Options
-	address := fs.String("listen", "127.0.0.1:9000", "HOST:PORT to listen on")
-	fs.StringVar(&options.Service, "service", "", "name of the service")
-	fs.StringVar(&options.Name, "server", "", "name of the backend server")
-	fs.BoolVar(&options.Keyed, "keyed", false, "the service is divided by key")
-	fs.BoolVar(&options.ChecksGrants, "checks-grants", false, "refuse requests without a grant in force")
-	fs.IntVar(&options.Slots, "slots", 4, "requests that run at once when warm")
-	fs.DurationVar(&options.RunTime, "run-time", 2*time.Millisecond, "time that a request takes")
-	fs.IntVar(&options.WarmAfter, "warm-after", 20, "answers that end a cold start")
-	fs.DurationVar(&options.LoadLag, "load-lag", 0, "age that a load report may reach")
-	if err := parse(fs, args); err != nil {
-		return usageError(err)
+// Execute implements subcommands.Command.
+func (c *standinCommand) Execute(ctx context.Context, fs *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	var handler http.Handler = platformstandin.New(c.platform)
+	if fs.Arg(0) == "backend" {
+		handler = backendstandin.New(c.backend)
 	}
-	if options.Service == "" || options.Name == "" {
-		return usageError(errors.New("-service and -server are needed"))
+	if err := serveStandin(ctx, c.listen, handler, streamsOf(args)); err != nil {
+		return fail(streamsOf(args), err)
 	}
-	return serveStandin(ctx, *address, backendstandin.New(options))
+	return subcommands.ExitSuccess
 }
 
-// serveStandin answers requests until SIGINT or SIGTERM.
-func serveStandin(ctx context.Context, address string, handler http.Handler) subcommands.ExitStatus {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
+// serveStandin answers requests until the context ends.
+func serveStandin(ctx context.Context, address string, handler http.Handler, streams Streams) error {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
-		return failure(err)
+		return errors.Wrap(err, "listen")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
 	}()
-	fmt.Printf("ready http://%s\n", socket.Addr())
+	fmt.Fprintf(streams.Out, "ready http://%s\n", socket.Addr())
 	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
-		return failure(err)
+		return errors.Wrap(err, "serve")
 	}
-	return subcommands.ExitSuccess
+	return nil
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -51,6 +51,12 @@
 	platform  string
 }
 
+// Exists reports whether there is an example of the name.
+func Exists(example string) bool {
+	_, ok := samples[example]
+	return ok
+}
+
 const readyTimeout = 20 * time.Second
 
 // Start brings the deployment up and waits until it serves.
