Dispatch with retry budgets, hedges and the load balancer

Cause: an attempt that met a closed gate was repeated six times at once and then refused. Change: a stale route is waited out during the first half of the request's time, other failures use the retry budget, idempotent requests are hedged; services without keys use two choices. A VM that is alone in its failure domain does not wait for a handover at its stop.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,16 +1,20 @@
 // Package dispatch brings one caller's request to a backend server: it asks for a
-// route, sends an attempt through the gate and decides on further attempts.
+// route, sends attempts through gates and decides on retries and hedges.
 package dispatch
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"fireflyfield/internal/backend"
+	"fireflyfield/internal/balance"
 	"fireflyfield/internal/outcome"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/resource"
+	"fireflyfield/internal/retry"
 )
 
 // Request is a caller's request after authentication, with its whole body.
@@ -42,151 +46,205 @@
 	KeyHash uint64
 	// Gate sends through the VM that is the gate of the backend server.
 	Gate peer.Sender
+	// Done tells the load balancer how the attempt ended; it is called exactly once.
+	Done func(balance.Result)
+}
+
+// Avoid narrows the choice of a route.
+type Avoid struct {
+	// Servers were tried for this request already.
+	Servers []string
+	// Probes says that the attempt must not probe a slow backend server.
+	Probes bool
 }
 
 // Router chooses backend servers.
 type Router interface {
-	// Route returns a way for the request. The servers in tried have refused it
-	// already; a router of a service that is not divided by key avoids them. A
-	// refusal always has kind NotRun.
-	Route(r *Request, tried []string) (Route, *outcome.Refusal)
+	// Route returns a way for the request. A refusal always has kind NotRun; one
+	// with RetryAfter may be over soon.
+	Route(r *Request, avoid Avoid) (Route, *outcome.Refusal)
 	// Changed returns a channel that is closed when routes change.
 	Changed() <-chan struct{}
-	// Observe reports how an attempt at the server went.
-	Observe(r *Request, route Route, took time.Duration, failure *backend.Failure)
-}
-
-// Budget bounds attempts beyond the first.
-type Budget interface {
-	// Request counts a first attempt.
-	Request()
-	// Retry takes one further attempt from the budget, or returns false.
-	Retry() bool
 }
 
 // Dispatcher is safe for concurrent use.
 type Dispatcher struct {
 	router  Router
-	budget  Budget
 	waiting chan struct{}
+	random  func() *rand.Rand
+
+	mu       sync.RWMutex
+	policies map[string]*policy
 }
 
-const (
-	// maxWaiting bounds the requests that wait for a route.
-	maxWaiting = 4096
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 6
-	// routeRetryInterval is the time between looks at the routes when nothing
-	// announced a change.
-	routeRetryInterval = 25 * time.Millisecond
-	// retryAfterNoRoute is advised when no backend server can take a request; a key
-	// is owned again within two seconds of a loss.
-	retryAfterNoRoute = 2 * time.Second
-)
+// policy holds the budgets of one service.
+type policy struct {
+	retries *retry.Budget
+	hedges  *retry.Budget
+	decider *retry.Decider
+	hedger  *retry.Hedger
+}
+
+// maxWaiting bounds the requests that wait for a route.
+const maxWaiting = 4096
 
-// New returns a Dispatcher.
-func New(router Router, budget Budget) *Dispatcher {
-	return &Dispatcher{router: router, budget: budget, waiting: make(chan struct{}, maxWaiting)}
+// New returns a Dispatcher. The function makes random sources.
+func New(router Router, random func() *rand.Rand) *Dispatcher {
+	return &Dispatcher{
+		router:   router,
+		waiting:  make(chan struct{}, maxWaiting),
+		random:   random,
+		policies: make(map[string]*policy),
+	}
+}
+
+func (d *Dispatcher) policy(service string) *policy {
+	d.mu.RLock()
+	known, ok := d.policies[service]
+	d.mu.RUnlock()
+	if ok {
+		return known
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known, ok := d.policies[service]; ok {
+		return known
+	}
+	created := newPolicy(d.random())
+	d.policies[service] = created
+	return created
+}
+
+func newPolicy(random *rand.Rand) *policy {
+	p := &policy{retries: mustBudget(retry.RetryShare, retry.RetryFloor), hedges: mustBudget(retry.HedgeShare, retry.HedgeFloor)}
+	p.decider = retry.NewDecider(p.retries, retry.NewBackoff(random))
+	p.hedger = retry.NewHedger(p.hedges)
+	return p
+}
+
+func mustBudget(share, floor float64) *retry.Budget {
+	budget, err := retry.NewBudget(share, floor)
+	if err != nil {
+		panic(err) // the arguments are constants
+	}
+	return budget
 }
 
 // Dispatch sends the request until it ran, can't be tried again, or its deadline
 // is too near. The context ends no later than the request's deadline.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *Request) (*backend.Response, *outcome.Refusal) {
-	d.budget.Request()
-	var tried []string
-	for attempt := 1; ; attempt++ {
-		route, refusal := d.route(ctx, r, tried)
+	now := time.Now()
+	policy := d.policy(r.Service)
+	policy.retries.Request(now)
+	policy.hedges.Request(now)
+	progress := &progress{request: r, giveUpRoutes: now.Add(r.Deadline.Sub(now) / 2)}
+	for {
+		route, refusal := d.route(ctx, progress)
 		if refusal != nil {
-			return nil, refusal
+			return nil, progress.refusal(refusal)
 		}
-		resp, failure := d.attempt(ctx, r, route)
+		resp, failure := d.attempt(ctx, policy, progress, route)
 		if failure == nil {
 			return resp, nil
 		}
-		if !d.mayRetry(ctx, r, failure, attempt) {
-			return nil, refuse(r, failure)
+		progress.failed(route, failure)
+		if !d.again(ctx, policy, progress, failure) {
+			return nil, refuse(progress, failure)
 		}
-		tried = append(tried, route.Server)
 	}
 }
 
-// route waits for a route while the request's time allows it.
-func (d *Dispatcher) route(ctx context.Context, r *Request, tried []string) (Route, *outcome.Refusal) {
-	changed := d.router.Changed()
-	route, refusal := d.router.Route(r, tried)
-	if refusal == nil || refusal.RetryAfter == 0 {
-		return route, refusal
+// progress is what has happened to one request so far.
+type progress struct {
+	request *Request
+	tried   []string
+	// attempts counts those that a gate admitted or a backend server refused.
+	attempts int
+	// unknown is set once an attempt may have run the request.
+	unknown bool
+	// giveUpRoutes is the time from which a stale route is not waited out.
+	giveUpRoutes time.Time
+}
+
+func (p *progress) failed(route Route, failure *backend.Failure) {
+	p.unknown = p.unknown || failure.Kind != outcome.NotRun
+	if staleRoute(failure) {
+		return
 	}
-	select {
-	case d.waiting <- struct{}{}:
-		defer func() { <-d.waiting }()
+	p.attempts++
+	p.tried = append(p.tried, route.Server)
+}
+
+// kind is the outcome of all attempts together.
+func (p *progress) kind() outcome.Kind {
+	if p.unknown {
+		return outcome.Unknown
+	}
+	return outcome.NotRun
+}
+
+// refusal corrects the outcome of a refusal by the attempts before it.
+func (p *progress) refusal(refusal *outcome.Refusal) *outcome.Refusal {
+	corrected := *refusal
+	corrected.Kind = p.kind()
+	return &corrected
+}
+
+// staleRoute reports whether the failure says that the route is out of date. No
+// backend server has seen the request then, so that waiting for a new route costs
+// none of them anything.
+func staleRoute(failure *backend.Failure) bool {
+	switch failure.Reason {
+	case "not-gate", "gate-unknown", "gate-unreachable", "moved", "no-lease", backend.ReasonFence:
+		return failure.Kind == outcome.NotRun
 	default:
-		return Route{}, refusal
+		return false
 	}
-	giveUp := time.NewTimer(time.Until(r.Deadline) / 2)
-	defer giveUp.Stop()
-	ticker := time.NewTicker(routeRetryInterval)
-	defer ticker.Stop()
-	for refusal != nil && refusal.RetryAfter != 0 {
-		select {
-		case <-changed:
-		case <-ticker.C:
-		case <-giveUp.C:
-			return Route{}, refusal
-		case <-ctx.Done():
-			return Route{}, refusal
-		}
-		changed = d.router.Changed()
-		route, refusal = d.router.Route(r, tried)
+}
+
+// again decides on a further attempt and waits until it is due.
+func (d *Dispatcher) again(ctx context.Context, policy *policy, p *progress, failure *backend.Failure) bool {
+	if staleRoute(failure) && !p.unknown {
+		return d.awaitChange(ctx, p)
 	}
-	return route, refusal
-}
-
-func (d *Dispatcher) attempt(ctx context.Context, r *Request, route Route) (*backend.Response, *backend.Failure) {
-	start := time.Now()
-	resp, err := route.Gate.Send(ctx, peer.Attempt{
-		Service:    r.Service,
-		Server:     route.Server,
-		Keyed:      route.Keyed,
-		Unit:       route.Unit,
-		Fence:      route.Fence,
-		KeyHash:    route.KeyHash,
-		RequestID:  r.ID,
-		Workspace:  r.Workspace,
-		DeadlineMs: r.Deadline.UnixMilli(),
-		Idempotent: r.Idempotent(),
-		Method:     r.Method,
-		Target:     r.Target,
-		Header:     r.Header,
-		Body:       r.Body,
+	r := p.request
+	decision := policy.decider.Decide(time.Now(), retry.Request{
+		Idempotent:    r.Idempotent(),
+		Attempts:      max(1, p.attempts),
+		Outcome:       p.kind(),
+		BodyAvailable: true,
+		Deadline:      r.Deadline,
+		RetryAfter:    failure.RetryAfter,
+		OtherServer:   !r.Spec.Keyed(),
 	})
-	var failure *backend.Failure
-	if err != nil {
-		failure = err.(*backend.Failure)
-	}
-	d.router.Observe(r, route, time.Since(start), failure)
-	return resp, failure
+	return decision.Verdict == retry.Again && sleep(ctx, decision.After)
 }
 
-// mayRetry allows a further attempt only where it can't run the request twice.
-func (d *Dispatcher) mayRetry(ctx context.Context, r *Request, failure *backend.Failure, attempt int) bool {
-	safe := failure.Kind == outcome.NotRun || r.Idempotent()
-	if !safe || attempt >= maxAttempts || ctx.Err() != nil {
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
 		return false
 	}
-	return d.budget.Retry()
 }
 
 // refuse turns the last failure into the caller's answer.
-func refuse(r *Request, failure *backend.Failure) *outcome.Refusal {
+func refuse(p *progress, failure *backend.Failure) *outcome.Refusal {
+	r := p.request
 	refusal := &outcome.Refusal{
-		Kind:       failure.Kind,
+		Kind:       p.kind(),
 		Status:     http.StatusServiceUnavailable,
 		Reason:     failure.Reason,
 		Detail:     "no backend server of service " + r.Service + " ran the request",
 		RetryAfter: max(failure.RetryAfter, time.Second),
 	}
-	if failure.Kind == outcome.Unknown {
+	if refusal.Kind == outcome.Unknown {
 		refusal.Status = http.StatusBadGateway
 		refusal.Detail = "the answer of service " + r.Service + " was lost; the request may have run"
 		if !r.Idempotent() {
@@ -195,15 +253,3 @@
 	}
 	return refusal
 }
-
-// NoRoute is the refusal of a router that has no backend server for the request
-// now but may have one soon.
-func NoRoute(reason, detail string) *outcome.Refusal {
-	return &outcome.Refusal{
-		Kind:       outcome.NotRun,
-		Status:     http.StatusServiceUnavailable,
-		Reason:     reason,
-		Detail:     detail,
-		RetryAfter: retryAfterNoRoute,
-	}
-}
--- a/internal/retry/outcome.go
+++ b/internal/retry/outcome.go
@@ -1,41 +1,17 @@
 package retry
 
-import "fmt"
+import "fireflyfield/internal/outcome"
 
 // Outcome says whether a request ran at a backend server.
-type Outcome uint8
+type Outcome = outcome.Kind
 
-// The outcomes. Unknown is the zero value, so that a missing classification never
-// counts as not run.
+// The outcomes.
 const (
-	// Unknown: the request may have run, wholly or in part.
-	Unknown Outcome = iota
-	// Ran: the complete response of a backend server is at hand.
-	Ran
-	// NotRun: the request has not run and never will.
-	NotRun
+	Unknown = outcome.Unknown
+	Ran     = outcome.Ran
+	NotRun  = outcome.NotRun
 )
 
-// Values of the headers Backend-Outcome and Fireflyfield-Outcome.
-const (
-	headerRan     = "ran"
-	headerNotRun  = "not-run"
-	headerUnknown = "unknown"
-)
-
-// String returns the outcome as in the header Fireflyfield-Outcome.
-func (o Outcome) String() string {
-	switch o {
-	case Unknown:
-		return headerUnknown
-	case Ran:
-		return headerRan
-	case NotRun:
-		return headerNotRun
-	}
-	return fmt.Sprintf("outcome %d", uint8(o))
-}
-
 // Source says who made the response header that an attempt received.
 type Source uint8
 
@@ -78,7 +54,7 @@
 
 func classifyBackend(a Attempt) Outcome {
 	switch {
-	case a.OutcomeHeader == headerNotRun:
+	case a.OutcomeHeader == NotRun.String():
 		// The header alone is the backend server's statement; the body adds nothing.
 		return NotRun
 	case a.Complete:
@@ -89,7 +65,7 @@
 
 // classifyVM trusts the statement of a VM, which applied the same rules.
 func classifyVM(a Attempt) Outcome {
-	if a.OutcomeHeader == headerNotRun {
+	if a.OutcomeHeader == NotRun.String() {
 		return NotRun
 	}
 	return Unknown
--- a/internal/vm/parts.go
+++ b/internal/vm/parts.go
@@ -26,11 +26,6 @@
 	return found.Spec, ok
 }
 
-type unlimitedBudget struct{}
-
-func (unlimitedBudget) Request()    {}
-func (unlimitedBudget) Retry() bool { return true }
-
 type noObserver struct{}
 
 func (noObserver) Answered(*dispatch.Request, caller.Answer) {}
--- a/internal/vm/router.go
+++ b/internal/vm/router.go
@@ -2,9 +2,9 @@
 
 import (
 	"sync"
-	"time"
 
 	"fireflyfield/internal/backend"
+	"fireflyfield/internal/balance"
 	"fireflyfield/internal/dispatch"
 	"fireflyfield/internal/gate"
 	"fireflyfield/internal/keyspace"
@@ -45,11 +45,11 @@
 }
 
 // Route implements dispatch.Router.
-func (r *router) Route(request *dispatch.Request, tried []string) (dispatch.Route, *outcome.Refusal) {
+func (r *router) Route(request *dispatch.Request, avoid dispatch.Avoid) (dispatch.Route, *outcome.Refusal) {
 	if request.Spec.Keyed() {
 		return r.routeByKey(request)
 	}
-	return r.unkeyed.route(request, tried)
+	return r.unkeyed.route(request, avoid)
 }
 
 func (r *router) routeByKey(request *dispatch.Request) (dispatch.Route, *outcome.Refusal) {
@@ -64,16 +64,10 @@
 		Fence:   fenceOf(found.Token),
 		KeyHash: uint64(keyspace.HashKey(request.Service, request.Key)),
 		Gate:    r.senders.to(found.Gate),
+		Done:    func(balance.Result) {},
 	}, nil
 }
 
-// Observe implements dispatch.Router.
-func (r *router) Observe(request *dispatch.Request, route dispatch.Route, took time.Duration, failure *backend.Failure) {
-	if !route.Keyed {
-		r.unkeyed.observe(request.Service, route.Server, took, failure)
-	}
-}
-
 func fenceOf(token ownership.Token) backend.Fence {
 	return backend.Fence{Term: uint64(token.Term), Counter: token.Counter}
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -36,6 +36,7 @@
 	table    *ownership.Table
 	gates    *gate.Set
 	router   *router
+	unkeyed  *balancers
 	calls    *peer.Client
 	control  *control
 	roles    *roles
@@ -88,15 +89,15 @@
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
 	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
-	unkeyed := &balancers{domain: options.FailureDomain, table: v.table, senders: send, view: v.follower.State().View}
-	v.router = newRouter(v.table, send, unkeyed)
+	v.unkeyed = newBalancers(options.FailureDomain, v.table, send)
+	v.router = newRouter(v.table, send, v.unkeyed)
 	return v
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (v *VM) listen() error {
-	handler := caller.New(v.authenticator(), v.limiter(), services{v.follower.State()}, dispatch.New(v.router, unlimitedBudget{}), noObserver{}, v.stopping.Load)
+	handler := caller.New(v.authenticator(), v.limiter(), services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
 	v.registerHandlers(control)
 	peerMux := http.NewServeMux()
@@ -146,7 +147,9 @@
 func (v *VM) followConfig(ctx context.Context) {
 	for {
 		changed := v.follower.State().Changed()
-		v.assigner.enqueue(ctx, ownership.ConfigChanged{Config: ownershipConfig(v.follower.State().View(), v.options.FailureDomain)})
+		view := v.follower.State().View()
+		v.assigner.enqueue(ctx, ownership.ConfigChanged{Config: ownershipConfig(view, v.options.FailureDomain)})
+		v.unkeyed.update(view)
 		v.router.notify()
 		select {
 		case <-changed:
@@ -180,7 +183,7 @@
 	defer cancel()
 	sleep(ctx, v.options.LeaveDelay)
 	err := v.callers.shutdown(ctx)
-	if !v.assigner.requestStop(ctx) {
+	if len(v.fleet.inDomain(v.options.FailureDomain)) > 1 && !v.assigner.requestStop(ctx) {
 		v.logger.Warn("duties of this VM did not move before the stop timeout")
 	}
 	v.stopWork()
