--- a/internal/quota/adversary_test.go
+++ b/internal/quota/adversary_test.go
@@ -35,7 +35,7 @@
 	}
 	for domain, vms := range adversaryVMs {
 		for _, vm := range vms {
-			a.holders[vm] = NewHolder(vm, domain, 1, PlainPolicy)
+			a.holders[vm] = NewHolder(vm, domain, 1, Policy{ReturnIdle: true})
 		}
 	}
 	a.takeover("a")
@@ -147,6 +147,7 @@
 func TestBoundUnderAdversary(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			a := newAdversary(seed)
 			for range 20_000 {
--- a/internal/quota/faults_test.go
+++ b/internal/quota/faults_test.go
@@ -62,6 +62,7 @@
 	for seed := range uint64(4) {
 		for _, limit := range []Limit{{Rate: 200, Burst: 60}, {Rate: 30, Burst: 7}} {
 			t.Run(fmt.Sprintf("seed%d/burst%d", seed, limit.Burst), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				s := newSim(seed, DefaultPolicy, map[string]Limit{"w0": limit}, []int{3, 3, 2}, 0.01)
 				s.loss, s.repeat = 0.05, 0.1
@@ -80,6 +81,7 @@
 // Guards against the old burst being kept or exceeded when the rate changes while
 // tokens are lent.
 func TestBoundWhileRateChanges(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	high, low := Limit{Rate: 400, Burst: 100}, Limit{Rate: 40, Burst: 10}
 	s := newSim(3, DefaultPolicy, map[string]Limit{"w0": high}, []int{3, 3}, 0)
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -166,7 +166,7 @@
 		if sync := e.poll(now, h.policy); sync != nil {
 			out = append(out, Envelope{ToDomain: h.domain, Sync: sync})
 		}
-		next = earliest(next, e.next(now))
+		next = earliest(next, e.next(now, h.policy))
 		e.mu.Unlock()
 	}
 	return out, next
@@ -212,7 +212,7 @@
 	case ask:
 		want = max(1, want)
 	case policy.Prefetch && !dry && available < target/2 && !now.Before(e.prefetchFrom()):
-	case available > 2*target && !now.Before(e.borrower.lastSent.Add(idleInterval)):
+	case policy.ReturnIdle && available > 2*target && !now.Before(e.borrower.lastSent.Add(idleInterval)):
 		e.borrower.giveBack(available - target)
 	case reportDue && e.borrower.unreported && policy.Prefetch:
 	case reportDue && e.borrower.unreported:
@@ -228,7 +228,7 @@
 	return e.borrower.open(now, want, need, true)
 }
 
-func (e *entry) next(now time.Time) time.Time {
+func (e *entry) next(now time.Time, policy Policy) time.Time {
 	next := e.borrower.wake()
 	if len(e.waiters) > 0 {
 		next = earliest(next, e.waiters[0].deadline)
@@ -236,10 +236,10 @@
 			next = earliest(next, e.borrower.dryUntil)
 		}
 	}
-	if e.low(now) {
+	if policy.Prefetch && e.low(now) {
 		next = earliest(next, maxTime(e.prefetchFrom(), e.borrower.dryUntil))
 	}
-	if e.borrower.pending == nil && e.borrower.available() > 0 {
+	if policy.ReturnIdle && e.borrower.pending == nil && e.borrower.available() > 0 {
 		next = earliest(next, maxTime(e.borrower.lastSent.Add(idleInterval), now.Add(minWindow)))
 	}
 	return next
--- /dev/null
+++ b/internal/quota/holder_bench_test.go
@@ -0,0 +1,16 @@
+package quota
+
+import "testing"
+
+// BenchmarkTake measures the hot path with tokens at hand.
+func BenchmarkTake(b *testing.B) {
+	h := NewHolder("vm0", "d", 1, DefaultPolicy)
+	h.Take("w", epoch)
+	out, _ := h.Poll(epoch)
+	h.HandleReply(Reply{Workspace: "w", Seq: out[0].Sync.Seq, Grants: []Grant{{Tokens: 1 << 60, Lifetime: BatchLifetime}}}, epoch)
+	for b.Loop() {
+		if h.Take("w", epoch).Outcome != Granted {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -57,6 +57,8 @@
 	unanswered  map[string]bool
 	recoveryEnd time.Time
 	asked       time.Time
+	// forgot is the time of the last removal of idle accounts.
+	forgot time.Time
 }
 
 // NewKeeper starts a keeper with an empty bucket. Until every holder has answered
@@ -256,6 +258,10 @@
 }
 
 func (k *Keeper) forgetAccounts(now time.Time) {
+	if now.Sub(k.forgot) < accountIdle {
+		return
+	}
+	k.forgot = now
 	for key, a := range k.accounts {
 		if len(a.loans) == 0 && now.Sub(a.lastSeen) >= accountIdle {
 			delete(k.accounts, key)
--- a/internal/quota/measure_test.go
+++ b/internal/quota/measure_test.go
@@ -18,7 +18,7 @@
 	{"fixed split", PlainPolicy, true},
 	{"plain lending", PlainPolicy, false},
 	{"prefetch only", Policy{Prefetch: true}, false},
-	{"wait only", Policy{MaxWait: DefaultPolicy.MaxWait, MaxDefer: DefaultPolicy.MaxDefer}, false},
+	{"wait only", Policy{MaxWait: DefaultPolicy.MaxWait, MaxDefer: DefaultPolicy.MaxDefer, ReturnIdle: true}, false},
 	{"default", DefaultPolicy, false},
 }
 
@@ -81,15 +81,18 @@
 
 // Guards against requests refused although the workspace is inside its rate.
 func TestDefaultPolicyRefusesFewWithinRate(t *testing.T) {
-	is := is.New(t)
 	for _, scenario := range scenarios {
-		m := runScenario(schemes[len(schemes)-1], limitCases[0], scenario, 2*time.Second)
-		t.Logf("%s: %+v", scenario, m)
-		if scenario != "5x tenant" {
-			is.True(m.own <= 1)
-		}
-		is.True(m.others <= 1)
-		is.True(m.shortfall <= 5)
+		t.Run(scenario, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			m := runScenario(schemes[len(schemes)-1], limitCases[0], scenario, 2*time.Second)
+			t.Logf("%+v", m)
+			if scenario != "5x tenant" {
+				is.True(m.own <= 1)
+			}
+			is.True(m.others <= 1)
+			is.True(m.shortfall <= 5)
+		})
 	}
 }
 
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -9,6 +9,8 @@
 	MaxWait time.Duration
 	// Prefetch asks for the next batch before the current one is used up.
 	Prefetch bool
+	// ReturnIdle returns tokens that recent demand does not need before they expire.
+	ReturnIdle bool
 	// MaxDefer is the longest time for which a keeper holds back a reply that it
 	// can't fill yet.
 	MaxDefer time.Duration
@@ -17,7 +19,12 @@
 // DefaultPolicy is used in production. MaxWait leaves room for one exchange with
 // the own keeper and one between failure domains; MaxDefer is below MaxWait so
 // that the reply still reaches waiting requests.
-var DefaultPolicy = Policy{MaxWait: 10 * time.Millisecond, Prefetch: true, MaxDefer: 6 * time.Millisecond}
+var DefaultPolicy = Policy{
+	MaxWait:    10 * time.Millisecond,
+	Prefetch:   true,
+	ReturnIdle: true,
+	MaxDefer:   6 * time.Millisecond,
+}
 
 // PlainPolicy asks only when no token is left and refuses until the batch is
 // there. It is the baseline of the measurements.
--- a/internal/quota/safety_test.go
+++ b/internal/quota/safety_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 )
 
@@ -135,3 +136,41 @@
 	is.True(!complete(2 * time.Second))
 	is.True(complete(2100 * time.Millisecond))
 }
+
+// Guards against fields lost between VMs of the same version.
+func TestMessagesSurviveEncoding(t *testing.T) {
+	is := is.New(t)
+	sync := syncOf("vm0", 3, BatchState{ID: BatchID{Term: 1, Seq: 2, Part: 1}, Tokens: 4, Spent: 1, Returned: 2})
+	reply := Reply{
+		Workspace: "w", Domain: "d", Term: 2, Seq: 3, Grants: []Grant{{Tokens: 4, Lifetime: time.Second}},
+		RetryAfter: time.Millisecond, Window: time.Minute,
+	}
+	data, err := cbor.Marshal(sync)
+	is.NoErr(err)
+	var gotSync Sync
+	is.NoErr(cbor.Unmarshal(data, &gotSync))
+	is.Equal(gotSync, sync)
+	data, err = cbor.Marshal(reply)
+	is.NoErr(err)
+	var gotReply Reply
+	is.NoErr(cbor.Unmarshal(data, &gotReply))
+	is.Equal(gotReply, reply)
+}
+
+// Guards against parts that sum to more than the limit, and against a small burst
+// divided into parts that can never be lent.
+func TestSplitSumsToTheLimit(t *testing.T) {
+	is := is.New(t)
+	domains := []string{"plateau", "medina", "pikine", "rufisque"}
+	for burst := int64(1); burst < 20; burst++ {
+		var sum Limit
+		for _, domain := range domains {
+			part := Split(Limit{Rate: 12, Burst: burst}, "w", domain, domains)
+			is.True((part.Burst == 0) == (part.Rate == 0))
+			sum.Burst += part.Burst
+			sum.Rate += part.Rate
+		}
+		is.Equal(sum.Burst, burst)
+		is.True(sum.Rate <= 12 && sum.Rate > 11.99)
+	}
+}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -325,7 +325,11 @@
 		return
 	}
 	k.timer = at
-	s.on(k.host, at, func() { s.pollKeeper(k) })
+	s.on(k.host, at, func() {
+		if k.timer == at {
+			s.pollKeeper(k)
+		}
+	})
 }
 
 func (s *sim) pollHolder(vm *simVM) {
@@ -341,7 +345,11 @@
 		return
 	}
 	vm.timer = at
-	s.on(vm, at, func() { s.pollHolder(vm) })
+	s.on(vm, at, func() {
+		if vm.timer == at {
+			s.pollHolder(vm)
+		}
+	})
 }
 
 func (s *sim) drainWaits(vm *simVM) {
