--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -9,11 +9,22 @@
 	// stallFactor: a server with requests in flight and no answer for this multiple
 	// of its latency counts as that slow.
 	stallFactor = 2
+	// probeWeight is the share of a probe in the moving average. Probes are too rare
+	// for latencyWeight, and a single one may be fast by chance.
+	probeWeight = 0.5
+	// goodProbeShare: a probe that took at most this share of the average suggests
+	// that the server has recovered.
+	goodProbeShare = 0.25
+	// confirmInterval is the wait before the probe that confirms a good one.
+	confirmInterval = 50 * time.Millisecond
 	// reportLifetime is the age at which a load report stops breaking ties.
 	reportLifetime = time.Second
-	// probeInterval is the time between two probes of one server by one VM. Probes
-	// are callers' requests, so they have to stay rare among the slowest 0.1%.
+	// probeInterval is the time between the first two probes of one server by one VM.
 	probeInterval = time.Second
+	// maxProbeInterval: the interval doubles up to here while a straggler stays slow.
+	// Probes are callers' requests; at one per second and VM they make up most of the
+	// slowest 0.1% in the model.
+	maxProbeInterval = 4 * time.Second
 	// minFullTime and maxFullTime bound how long a refusal marks a server as full.
 	minFullTime = time.Millisecond
 	maxFullTime = 100 * time.Millisecond
@@ -34,6 +45,8 @@
 	// failed is set by a failure and cleared by the next answer.
 	failed    bool
 	nextProbe time.Time
+	// probeWait is the interval between probes; 0 before the first one.
+	probeWait time.Duration
 }
 
 func (s *server) usable() bool { return s.state == Warm || s.state == Cold }
@@ -80,7 +93,7 @@
 	switch r.Kind {
 	case Answered:
 		s.failed = false
-		s.observe(r.Latency, probe)
+		s.observe(now, r.Latency, probe)
 	case Refused:
 		s.fullUntil = now.Add(min(max(r.RetryAfter, minFullTime), maxFullTime))
 	case Failed:
@@ -90,13 +103,29 @@
 	}
 }
 
-func (s *server) observe(sample time.Duration, probe bool) {
-	// Probes are too rare to average: one good probe brings a server back.
-	if probe || s.latency == 0 {
+func (s *server) observe(now time.Time, sample time.Duration, probe bool) {
+	if s.latency == 0 {
 		s.latency = max(sample, 1)
 		return
 	}
-	s.latency += time.Duration(latencyWeight * float64(sample-s.latency))
+	weight := latencyWeight
+	if probe {
+		weight = probeWeight
+	}
+	if probe && float64(sample) <= goodProbeShare*float64(s.latency) {
+		s.nextProbe = now.Add(confirmInterval)
+	}
+	s.latency += time.Duration(weight * float64(sample-s.latency))
+}
+
+// beginProbe sets the time of the next probe. A failed server keeps the short
+// interval, since probes of it fail fast and can be tried again elsewhere.
+func (s *server) beginProbe(now time.Time) {
+	s.probeWait = min(max(2*s.probeWait, probeInterval), maxProbeInterval)
+	if s.failed {
+		s.probeWait = probeInterval
+	}
+	s.nextProbe = now.Add(s.probeWait)
 }
 
 func (s *server) setState(state State) {
--- a/internal/balance/twochoices.go
+++ b/internal/balance/twochoices.go
@@ -45,10 +45,11 @@
 		}
 	}
 	if due != nil && !o.NoProbe {
-		due.nextProbe = now.Add(probeInterval)
+		due.beginProbe(now)
 		return due, true
 	}
 	if chosen := p.acrossDomains(v); chosen != nil {
+		chosen.probeWait = 0
 		return chosen, false
 	}
 	// With nothing but suspect servers left, each request also tells how they are.
