--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -69,6 +69,13 @@
 		_, refusal = g.Admit(t.Context(), "w", begin.Add(5*time.Second))
 		is.Equal(refusal.Reason, NoLease)
 		is.Equal(time.Since(begin), 100*time.Millisecond)
+
+		g.Renew(time.Now().Add(time.Hour))
+		time.AfterFunc(time.Second, func() { g.Renew(time.Now().Add(100 * time.Millisecond)) })
+		begin = time.Now()
+		_, refusal = g.Admit(t.Context(), "w", begin.Add(5*time.Second))
+		is.Equal(refusal.Reason, NoLease)
+		is.True(time.Since(begin) <= 1100*time.Millisecond+reconsiderInterval)
 	})
 }
 
@@ -114,6 +121,16 @@
 	is.Equal(Ticket{}.MaySend().Reason, Cancelled)
 }
 
+// Guards against slots that stay adopted after the former gate's requests ended.
+func TestFormerInFlight(t *testing.T) {
+	is := is.New(t)
+	g, err := New(Config{Slots: 4, LongestDeadline: time.Hour, Takeover: &Takeover{}})
+	is.NoErr(err)
+	g.FormerInFlight(2)
+	g.FormerInFlight(3) // a late statement
+	is.Equal(g.Snapshot().Adopted, 2)
+}
+
 func BenchmarkAdmitDone(b *testing.B) {
 	g := newTestGate(b)
 	b.ReportAllocs()
