Enforce rates and caller keys on the path

Cause: rates were not enforced; caller keys were removed from the Authorization header only. Change: keyring with withdrawal and staleness, removal of the token from headers and query, keepers under role leases and holders with token batches. A VM is ready once keepers that started together lend tokens.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"fireflyfield/internal/backend"
+	"fireflyfield/internal/callerkey"
 	"fireflyfield/internal/dispatch"
 	"fireflyfield/internal/httpheader"
 	"fireflyfield/internal/outcome"
@@ -32,8 +33,6 @@
 	// Authenticate looks the bearer token up and checks that its workspace may call
 	// the service.
 	Authenticate(token, service string) (Identity, *outcome.Refusal)
-	// Strip removes the token from wherever the request carries it.
-	Strip(token string, header http.Header, target string) (strippedTarget string)
 }
 
 // Limiter enforces workspaces' rates.
@@ -163,8 +162,8 @@
 }
 
 func (h *Handler) authenticate(r *http.Request, w http.ResponseWriter, request *dispatch.Request) (string, Identity, *outcome.Refusal) {
-	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+	token, err := callerkey.BearerToken(r.Header)
+	if err != nil {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		return "", Identity{}, notRun(http.StatusUnauthorized, "no-caller-key", "the header Authorization: Bearer KEY is missing")
 	}
@@ -188,7 +187,10 @@
 	request.Spec = spec
 	request.Deadline = time.Now().Add(spec.Timeout.Std())
 	request.IdempotencyKey = r.Header.Get("Idempotency-Key")
-	request.Target = h.Auth.Strip(token, r.Header, target(r, request.Service))
+	if err := callerkey.Strip(r, token); err != nil {
+		return notRun(http.StatusBadRequest, "caller-key-in-path", "the caller key must not be part of the path")
+	}
+	request.Target = target(r, request.Service)
 	httpheader.RemoveHopByHop(r.Header)
 	httpheader.RemoveInternal(r.Header)
 	addForwardedFor(r)
--- a/internal/dev/path_test.go
+++ b/internal/dev/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -141,6 +142,10 @@
 func TestPlannedStopOfVMCutsNothing(t *testing.T) {
 	is := is.New(t)
 	cluster := startDakar(t)
+	// A failure domain with one VM has nobody to take its duties over.
+	second, err := cluster.AddVM("vm-medina-2", "medina", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(second.AwaitReady(t.Context()))
 	const workers = 8
 	var sent, failed atomic.Int64
 	ctx, stop := context.WithCancel(t.Context())
@@ -149,11 +154,11 @@
 		running.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
 				address := readyVM(cluster, i).CallerAddress()
-				resp, _, err := call{method: "POST", path: "/entretien/bloc-17", key: sampleKey}.send(context.Background(), address)
+				resp, body, err := call{method: "POST", path: fmt.Sprintf("/entretien/bloc-%d", i%40), key: sampleKey}.send(context.Background(), address)
 				sent.Add(1)
 				if err != nil || resp.StatusCode != http.StatusOK {
 					failed.Add(1)
-					t.Log(address, err, resp)
+					t.Log(address, err, string(body))
 				}
 			}
 		})
--- a/internal/vm/messages.go
+++ b/internal/vm/messages.go
@@ -13,8 +13,7 @@
 	messageStopUnits
 	messageLoad
 	messageHandover
-	messageQuotaSync
-	messageQuotaAsk
+	messageQuota
 	messageExchange
 	messageStatus
 	messageIdempotency
--- a/internal/vm/parts.go
+++ b/internal/vm/parts.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -13,7 +10,8 @@
 	"fireflyfield/internal/caller"
 	"fireflyfield/internal/config"
 	"fireflyfield/internal/dispatch"
-	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/ownership"
+	"fireflyfield/internal/quota"
 	"fireflyfield/internal/resource"
 )
 
@@ -30,34 +28,6 @@
 
 func (noObserver) Answered(*dispatch.Request, caller.Answer) {}
 
-// keys authenticates callers against the present configuration.
-type keys struct{ state *config.State }
-
-// Authenticate implements caller.Authenticator.
-func (k keys) Authenticate(token, service string) (caller.Identity, *outcome.Refusal) {
-	digest := sha256.Sum256([]byte(token))
-	for _, key := range k.state.View().CallerKeys() {
-		if subtle.ConstantTimeCompare([]byte(key.Spec.Digest), []byte(hex.EncodeToString(digest[:]))) == 1 {
-			return caller.Identity{Workspace: key.Spec.Workspace}, nil
-		}
-	}
-	return caller.Identity{}, &outcome.Refusal{Kind: outcome.NotRun, Status: http.StatusUnauthorized, Reason: "unknown-caller-key", Detail: "the caller key is not valid"}
-}
-
-// Strip implements caller.Authenticator.
-func (k keys) Strip(_ string, header http.Header, target string) string {
-	header.Del("Authorization")
-	return target
-}
-
-type unlimited struct{}
-
-// Take implements caller.Limiter.
-func (unlimited) Take(context.Context, string) *outcome.Refusal { return nil }
-
-func (v *VM) authenticator() caller.Authenticator { return keys{v.follower.State()} }
-func (v *VM) limiter() caller.Limiter             { return unlimited{} }
-
 func (v *VM) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -69,9 +39,38 @@
 	return mux
 }
 
+// quotaRecovery is the time after which keepers that all started together lend
+// tokens; before, they would refuse requests inside the rate.
+const quotaRecovery = quota.BatchLifetime + quota.ClockMargin + 200*time.Millisecond
+
 // Ready reports whether the VM serves callers.
-func (v *VM) Ready() bool {
-	return !v.stopping.Load() && v.follower.State().Position() > 0 && len(v.fleet.all()) > 0
+func (v *VM) Ready() bool { return v.unready() == "" }
+
+// unready returns why the VM does not serve callers, or an empty string.
+func (v *VM) unready() string {
+	view := v.follower.State().View()
+	domain := v.options.FailureDomain
+	switch {
+	case v.stopping.Load():
+		return "the VM is stopping"
+	case v.follower.State().Position() == 0:
+		return "no configuration has been read"
+	case len(v.fleet.all()) == 0:
+		return "the platform's list of VMs has not been read"
+	}
+	if _, ok := v.table.Domain(domain); !ok {
+		return "no owners of failure domain " + domain + " are known"
+	}
+	for _, rate := range view.Rates() {
+		role := ownership.Role{Kind: ownership.RoleKeeper, Name: rate.Spec.Workspace}
+		if _, ok := v.table.RoleVM(domain, role); !ok {
+			return "no keeper of workspace " + rate.Spec.Workspace + " is known"
+		}
+	}
+	if len(view.Rates()) > 0 && time.Since(time.Unix(0, v.mapSeen.Load())) < quotaRecovery {
+		return "keepers may still be waiting for tokens that others lent"
+	}
+	return ""
 }
 
 // readyInterval is the time between two looks at the readiness.
--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -26,6 +26,7 @@
 	peer.Handle(server, messageStopUnits, heartbeatLimit, v.onStopUnits)
 	peer.Handle(server, messageHandover, smallLimit, v.onHandover)
 	peer.Handle(server, messageExchange, smallLimit, v.onExchange)
+	peer.Handle(server, messageQuota, recordsLimit, v.quotas.onMessage)
 }
 
 func (v *VM) onHeartbeat(ctx context.Context, _ peer.Identity, heartbeat ownership.Heartbeat) (ownership.HeartbeatReply, error) {
@@ -55,6 +56,9 @@
 // acceptMap applies a domain map and reports whether it was newer.
 func (v *VM) acceptMap(published ownership.DomainMap) bool {
 	newer := v.table.UpdateDomain(published)
+	if newer && published.Domain == v.options.FailureDomain {
+		v.mapSeen.CompareAndSwap(0, time.Now().UnixNano())
+	}
 	if newer {
 		v.router.notify()
 	}
--- a/internal/vm/roles.go
+++ b/internal/vm/roles.go
@@ -79,6 +79,7 @@
 func (r *roles) apply(ctx context.Context) {
 	lease := r.current()
 	expires := r.clock.at(lease.Until)
+	r.vm.quotas.setRoles(lease, expires)
 	wanted := make(map[gate.ServerID]bool)
 	view := r.vm.follower.State().View()
 	for _, role := range lease.Roles {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/caller"
+	"fireflyfield/internal/callerkey"
 	"fireflyfield/internal/config"
 	"fireflyfield/internal/dispatch"
 	"fireflyfield/internal/gate"
@@ -40,12 +41,16 @@
 	calls    *peer.Client
 	control  *control
 	roles    *roles
+	keyring  *callerkey.Keyring
+	quotas   *quotas
 	assigner *assigner
 
 	callers   *listener
 	peers     *listener
 	operators *listener
 
+	// mapSeen is the time of the first map of this failure domain, in Unix ns.
+	mapSeen    atomic.Int64
 	stopping   atomic.Bool
 	background sync.WaitGroup
 	stopWork   context.CancelFunc
@@ -86,6 +91,8 @@
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
 	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow)
+	v.keyring = callerkey.NewKeyring(time.Now())
+	v.quotas = newQuotas(v)
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
 	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
@@ -97,7 +104,7 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (v *VM) listen() error {
-	handler := caller.New(v.authenticator(), v.limiter(), services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
+	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
 	v.registerHandlers(control)
 	peerMux := http.NewServeMux()
@@ -134,6 +141,8 @@
 	v.background.Go(func() { v.roles.run(ctx) })
 	v.background.Go(func() { v.followConfig(ctx) })
 	v.background.Go(func() { v.exchange(ctx) })
+	v.background.Go(func() { v.confirmKeys(ctx) })
+	v.background.Go(func() { v.quotas.run(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
 	}
@@ -150,6 +159,8 @@
 		view := v.follower.State().View()
 		v.assigner.enqueue(ctx, ownership.ConfigChanged{Config: ownershipConfig(view, v.options.FailureDomain)})
 		v.unkeyed.update(view)
+		v.updateKeys(view)
+		v.quotas.update(view)
 		v.router.notify()
 		select {
 		case <-changed:
