--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -215,6 +215,8 @@
 
 // restore takes the newest complete snapshot if it is ahead of the state.
 func (f *Follower) restore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
 	newest, ok, err := f.snapshots.Update(ctx)
 	if err != nil || !ok {
 		return err
--- a/internal/config/helpers_test.go
+++ b/internal/config/helpers_test.go
@@ -85,3 +85,8 @@
 	go f.Run(ctx)
 	return f
 }
+
+func withDigest(key resource.Resource, n int) resource.Resource {
+	key.Spec.(*resource.CallerKeySpec).Digest = fmt.Sprintf("%064x", n+1<<32)
+	return key
+}
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -2,9 +2,14 @@
 
 import "fireflyfield/internal/resource"
 
-// historyEvents bounds the events kept for watches that resume. A watch that is
-// further behind gets the whole state again.
-const historyEvents = 4096
+// Limits of the events kept for watches that resume. A watch that is further
+// behind gets the whole state again.
+const (
+	historyEvents = 4096
+	historyBytes  = 16 << 20
+	// eventBytes is the size of an event apart from its resource.
+	eventBytes = 256
+)
 
 // Event is one change of one resource.
 type Event struct {
@@ -13,6 +18,8 @@
 	ID       resource.ID
 	// Resource is set for OpPut.
 	Resource resource.Resource
+	// size is the encoded size of the resource in bytes.
+	size int
 }
 
 // history is the recent events in order of their revision.
@@ -20,16 +27,23 @@
 	// after is the revision from which on the events are complete.
 	after  uint64
 	events []Event
+	bytes  int
 }
 
 func (h *history) add(event Event) {
 	h.events = append(h.events, event)
-	if len(h.events) <= 2*historyEvents {
-		return
+	h.bytes += event.size + eventBytes
+	for len(h.events) > historyEvents || h.bytes > historyBytes {
+		h.dropOldest()
 	}
-	surplus := len(h.events) - historyEvents
-	h.after = h.events[surplus-1].Revision
-	h.events = append([]Event(nil), h.events[surplus:]...)
+}
+
+func (h *history) dropOldest() {
+	oldest := h.events[0]
+	h.after = oldest.Revision
+	h.bytes -= oldest.size + eventBytes
+	h.events[0] = Event{}
+	h.events = h.events[1:]
 }
 
 // Since returns the events after the revision and the position up to which they
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -19,11 +19,16 @@
 // Limit returns the largest number of resources of the kind.
 func Limit(kind resource.Kind) int { return limits[kind] }
 
+// MaxTotalBytes bounds the documents of all resources together, so that a snapshot
+// stays below its own limit.
+const MaxTotalBytes = 32 << 20
+
 // overlay is the state as it would be after the changes of one record. A nil
 // entry is a deleted resource.
 type overlay struct {
 	state   *State
 	changes map[resource.ID]*resource.Resource
+	sizes   map[resource.ID]int
 	order   []resource.ID
 }
 
@@ -41,7 +46,7 @@
 func (o *overlay) all(kinds ...resource.Kind) []resource.Resource {
 	var found []resource.Resource
 	for _, kind := range kinds {
-		for _, r := range o.state.tables[kind].freeze().sorted {
+		for _, r := range o.state.tables[kind].sorted {
 			if _, changed := o.changes[r.ID()]; !changed {
 				found = append(found, r)
 			}
@@ -60,7 +65,7 @@
 	if record.Seen >= offset || offset-record.Seen > IdentifierWindow {
 		return nil, refuse(ReasonExpired, resource.ID{}, "written against revision %d and appended at %d; read the resources and apply again", record.Seen, offset)
 	}
-	o := &overlay{state: s, changes: make(map[resource.ID]*resource.Resource, len(record.Changes))}
+	o := &overlay{state: s, changes: make(map[resource.ID]*resource.Resource), sizes: make(map[resource.ID]int)}
 	for _, change := range record.Changes {
 		if refusal := o.add(change, offset); refusal != nil {
 			return nil, refusal
@@ -72,7 +77,10 @@
 	if refusal := o.checkUnique(); refusal != nil {
 		return nil, refusal
 	}
-	return o, o.checkLimits()
+	if refusal := o.checkLimits(); refusal != nil {
+		return nil, refusal
+	}
+	return o, o.checkBytes()
 }
 
 // add takes one change into the overlay.
@@ -105,11 +113,24 @@
 			return refusal
 		}
 	}
+	size, err := encodedSize(next)
+	if err != nil {
+		return refuse(ReasonInvalid, id, "the document can't be encoded")
+	}
 	next.Metadata.Revision = offset
 	o.changes[id] = &next
+	o.sizes[id] = size
 	return nil
 }
 
+// encodedSize returns the size of the resource without revision and status. It
+// does not depend on how the author encoded the document, so that it is the same
+// after a snapshot.
+func encodedSize(r resource.Resource) (int, error) {
+	change, err := Put(r, 0)
+	return len(change.Document), err
+}
+
 func decodeChange(change Change) (resource.Resource, *Refusal) {
 	var r resource.Resource
 	if err := json.Unmarshal(change.Document, &r); err != nil {
@@ -252,6 +273,19 @@
 	return nil
 }
 
+// checkBytes refuses a record that makes the state grow past MaxTotalBytes.
+func (o *overlay) checkBytes() *Refusal {
+	growth := 0
+	for _, id := range o.order {
+		growth += o.sizes[id] - o.state.tables[id.Kind].sizes[id.Name]
+	}
+	total := o.state.bytes() + growth
+	if growth > 0 && total > o.state.maxBytes {
+		return refuse(ReasonLimit, o.order[0], "all documents together would have %d bytes, the limit is %d", total, o.state.maxBytes)
+	}
+	return nil
+}
+
 // commit takes the planned changes into the state.
 func (s *State) commit(offset uint64, o *overlay) {
 	for _, id := range o.order {
@@ -261,7 +295,7 @@
 			s.history.add(Event{Revision: offset, Op: OpDelete, ID: id})
 			continue
 		}
-		s.tables[id.Kind].put(*r)
-		s.history.add(Event{Revision: offset, Op: OpPut, ID: id, Resource: *r})
+		s.tables[id.Kind].put(*r, o.sizes[id])
+		s.history.add(Event{Revision: offset, Op: OpPut, ID: id, Resource: *r, size: o.sizes[id]})
 	}
 }
--- a/internal/config/replay_test.go
+++ b/internal/config/replay_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -172,3 +173,65 @@
 	}
 	return stream
 }
+
+// Guards against a state that no snapshot can hold.
+func TestBytesAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	s.maxBytes = 64 << 10
+	apply(s, put(t, domain("plateau"), 0))
+	large := service("large", strings.Split(strings.Repeat("e", 50), "")...)
+	for i := range large.Spec.(*resource.ServiceSpec).BackendServers {
+		large.Spec.(*resource.ServiceSpec).BackendServers[i].Name = fmt.Sprintf("e%d", i)
+	}
+	added := 0
+	for refusedFor(apply(s, put(t, renamed(large, added), 0))) == "" {
+		added++
+	}
+	is.True(added > 1 && s.bytes() <= s.maxBytes)
+	restored := NewState()
+	is.NoErr(restored.Restore([]byte(snapshotOf(t, s))))
+	is.Equal(restored.bytes(), s.bytes())
+	is.True(apply(s, Delete(ref(resource.KindService, "large-0"), 2)).Outcome.Accepted())
+	is.Equal(refusedFor(apply(s, put(t, renamed(large, added), 0))), Reason(""))
+}
+
+// Guards against a history that keeps old versions of large resources without a
+// bound, and against a watch that misses an event which was dropped.
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	for revision := uint64(1); revision <= 100; revision++ {
+		s.history.add(Event{Revision: revision, size: 1 << 20})
+	}
+	is.True(s.history.bytes <= historyBytes)
+	kept := uint64(len(s.history.events))
+	events, _, complete := s.Since(100 - kept)
+	is.True(complete)
+	is.Equal(uint64(len(events)), kept)
+	_, _, complete = s.Since(100 - kept - 1)
+	is.True(!complete)
+}
+
+func renamed(r resource.Resource, n int) resource.Resource {
+	r.Metadata.Name = fmt.Sprintf("%s-%d", r.Metadata.Name, n)
+	return r
+}
+
+// Guards against readers that see a view change under them.
+func TestViewsAreImmutable(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	apply(s, put(t, workspace("b"), 0), put(t, workspace("d"), 0))
+	before := s.View()
+	apply(s, put(t, workspace("b"), 1), Delete(ref(resource.KindWorkspace, "d"), 1), put(t, workspace("a"), 0))
+	apply(s, put(t, workspace("c"), 0))
+	names := func(v *View) (text string) {
+		for _, w := range v.Workspaces() {
+			text += fmt.Sprintf("%s%d ", w.Name, w.Revision)
+		}
+		return text
+	}
+	is.Equal(names(before), "b1 d1 ")
+	is.Equal(names(s.View()), "a2 b2 c3 ")
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -35,12 +35,14 @@
 	return body.Position, data, nil
 }
 
+// snapshotBody holds the lock only while it takes the view and the identifiers.
 func (s *State) snapshotBody() (snapshotBody, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	view := s.View()
 	body := snapshotBody{Version: snapshotVersion, Position: s.position, Identifiers: s.ids.list()}
+	s.mu.Unlock()
 	for _, kind := range resource.Kinds {
-		for _, r := range s.tables[kind].freeze().sorted {
+		for _, r := range view.List(kind) {
 			document, err := json.Marshal(r)
 			if err != nil {
 				return snapshotBody{}, errors.Wrapf(err, "encode %s", r.ID())
@@ -107,6 +109,10 @@
 	if revision == 0 || revision > s.position {
 		return errors.Wrapf(ErrMalformed, "%s has revision %d at position %d", r.ID(), revision, s.position)
 	}
-	s.tables[r.ID().Kind].put(r)
+	size, err := encodedSize(r)
+	if err != nil {
+		return errors.Wrap(ErrMalformed, "resource in snapshot")
+	}
+	s.tables[r.ID().Kind].put(r, size)
 	return nil
 }
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -19,17 +19,22 @@
 	ids      *identifiers
 	history  history
 	changed  chan struct{}
-	// view is nil after a change until the next call of View.
+	// maxBytes is MaxTotalBytes except in tests.
+	maxBytes int
+	// view is what readers get without the lock.
 	view atomic.Pointer[View]
 }
 
 // NewState returns an empty state at position 0.
 func NewState() *State {
-	return &State{
-		tables:  newTables(),
-		ids:     newIdentifiers(),
-		changed: make(chan struct{}),
+	s := &State{
+		tables:   newTables(),
+		ids:      newIdentifiers(),
+		changed:  make(chan struct{}),
+		maxBytes: MaxTotalBytes,
 	}
+	s.publish()
+	return s
 }
 
 // Position returns the offset of the last record that was replayed, which is the
@@ -108,7 +113,7 @@
 }
 
 func (s *State) notify() {
-	s.view.Store(nil)
+	s.publish()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -12,20 +12,23 @@
 	items map[string]resource.Resource
 	// unique maps a value that only one resource may have to that resource's name.
 	unique map[string]string
-	// frozen is nil after a change until the next call of freeze.
-	frozen *frozenTable
-}
-
-// frozenTable is an immutable copy that views share.
-type frozenTable struct {
-	byName map[string]resource.Resource
+	// sizes holds the encoded size of each resource in bytes; bytes is their sum.
+	sizes map[string]int
+	bytes int
+	// sorted holds the resources by name. Views share it once shared is true; it is
+	// then copied before the next change.
 	sorted []resource.Resource
+	shared bool
 }
 
 func newTables() map[resource.Kind]*table {
 	tables := make(map[resource.Kind]*table, len(resource.Kinds))
 	for _, kind := range resource.Kinds {
-		tables[kind] = &table{items: make(map[string]resource.Resource), unique: make(map[string]string)}
+		tables[kind] = &table{
+			items:  make(map[string]resource.Resource),
+			unique: make(map[string]string),
+			sizes:  make(map[string]int),
+		}
 	}
 	return tables
 }
@@ -39,13 +42,30 @@
 	return r, ok
 }
 
-func (t *table) put(r resource.Resource) {
+// bytes returns the encoded size of all resources.
+func (s *State) bytes() int {
+	total := 0
+	for _, t := range s.tables {
+		total += t.bytes
+	}
+	return total
+}
+
+func (t *table) put(r resource.Resource, size int) {
 	t.release(r.Metadata.Name)
+	t.bytes += size - t.sizes[r.Metadata.Name]
+	t.sizes[r.Metadata.Name] = size
 	if value := uniqueValue(r); value != "" {
 		t.unique[value] = r.Metadata.Name
 	}
 	t.items[r.Metadata.Name] = r
-	t.frozen = nil
+	t.unshare()
+	at, exists := search(t.sorted, r.Metadata.Name)
+	if exists {
+		t.sorted[at] = r
+		return
+	}
+	t.sorted = slices.Insert(t.sorted, at, r)
 }
 
 // release gives up the unique value of the resource, unless another resource has
@@ -62,25 +82,33 @@
 
 func (t *table) remove(name string) {
 	t.release(name)
+	t.bytes -= t.sizes[name]
+	delete(t.sizes, name)
 	delete(t.items, name)
-	t.frozen = nil
+	t.unshare()
+	if at, exists := search(t.sorted, name); exists {
+		t.sorted = slices.Delete(t.sorted, at, at+1)
+	}
 }
 
-func (t *table) freeze() *frozenTable {
-	if t.frozen != nil {
-		return t.frozen
-	}
-	frozen := &frozenTable{byName: make(map[string]resource.Resource, len(t.items))}
-	frozen.sorted = make([]resource.Resource, 0, len(t.items))
-	for name, r := range t.items {
-		frozen.byName[name] = r
-		frozen.sorted = append(frozen.sorted, r)
+// share returns the resources by name for readers.
+func (t *table) share() []resource.Resource {
+	t.shared = true
+	return t.sorted
+}
+
+func (t *table) unshare() {
+	if !t.shared {
+		return
 	}
-	slices.SortFunc(frozen.sorted, func(a, b resource.Resource) int {
-		return strings.Compare(a.Metadata.Name, b.Metadata.Name)
+	t.sorted = slices.Clone(t.sorted)
+	t.shared = false
+}
+
+func search(sorted []resource.Resource, name string) (int, bool) {
+	return slices.BinarySearchFunc(sorted, name, func(r resource.Resource, name string) int {
+		return strings.Compare(r.Metadata.Name, name)
 	})
-	t.frozen = frozen
-	return frozen
 }
 
 // uniqueValue returns the value that only one resource of the kind may have, or
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -6,7 +6,7 @@
 // specs that it returns.
 type View struct {
 	revision uint64
-	tables   map[resource.Kind]*frozenTable
+	tables   map[resource.Kind][]resource.Resource
 }
 
 // Entry is a resource with the type of its spec.
@@ -26,23 +26,16 @@
 	Drain         = Entry[*resource.DrainSpec]
 )
 
-// View returns the current configuration. Calls between two changes return the
-// same view.
-func (s *State) View() *View {
-	if v := s.view.Load(); v != nil {
-		return v
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v := s.view.Load(); v != nil {
-		return v
-	}
-	v := &View{revision: s.position, tables: make(map[resource.Kind]*frozenTable, len(s.tables))}
+// View returns the configuration after the last record. It never waits.
+func (s *State) View() *View { return s.view.Load() }
+
+// publish makes the view for readers.
+func (s *State) publish() {
+	v := &View{revision: s.position, tables: make(map[resource.Kind][]resource.Resource, len(s.tables))}
 	for kind, t := range s.tables {
-		v.tables[kind] = t.freeze()
+		v.tables[kind] = t.share()
 	}
 	s.view.Store(v)
-	return v
 }
 
 // Revision is the position of the state when the view was made.
@@ -50,21 +43,18 @@
 
 // Lookup returns the resource with the id.
 func (v *View) Lookup(id resource.ID) (resource.Resource, bool) {
-	t, ok := v.tables[id.Kind]
+	sorted := v.tables[id.Kind]
+	at, ok := search(sorted, id.Name)
 	if !ok {
 		return resource.Resource{}, false
 	}
-	r, ok := t.byName[id.Name]
-	return r, ok
+	return sorted[at], true
 }
 
-// List returns the resources of the kind, sorted by name.
+// List returns the resources of the kind, sorted by name. Callers must not change
+// the list.
 func (v *View) List(kind resource.Kind) []resource.Resource {
-	t, ok := v.tables[kind]
-	if !ok {
-		return nil
-	}
-	return t.sorted
+	return v.tables[kind]
 }
 
 // FailureDomains returns the failure domains, sorted by name.
--- a/internal/resource/specs.go
+++ b/internal/resource/specs.go
@@ -36,8 +36,9 @@
 	// Slices is the number of parts of the hashed key space; it can't be changed
 	// after the service was accepted.
 	Slices int `json:"slices,omitempty" yaml:"slices,omitempty"`
-	// IdempotentMethods may be sent again after an unknown outcome.
-	IdempotentMethods []string `json:"idempotentMethods,omitempty" yaml:"idempotentMethods,omitempty"`
+	// IdempotentMethods may be sent again after an unknown outcome. An empty list
+	// means none, so it must not be left out when it is encoded.
+	IdempotentMethods []string `json:"idempotentMethods" yaml:"idempotentMethods"`
 	// ChecksGrants says that the backend servers refuse requests whose fencing
 	// token they do not hold.
 	ChecksGrants bool `json:"checksGrants" yaml:"checksGrants"`
