--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -207,3 +208,27 @@
 	}
 	return c.Log.Read(ctx, stream, from, max, wait)
 }
+
+// Guards against a VM that skips what it can't read, and against a snapshot that
+// can't be used keeping a VM from records that are still retained.
+func TestUnreadableSnapshotAndRecord(t *testing.T) {
+	inBubble(t, func(ctx context.Context, is *is.I, log *platformtest.Log) {
+		first := startVM(ctx, log, 1)
+		fill(ctx, t, first, 1, 3)
+		header := snapshot.Header{Name: Stream, ID: id(77), Position: 2}
+		is.NoErr(snapshot.Write(ctx, log, snapshot.Snapshot{Header: header, Data: []byte("no state")}))
+		late := startVM(ctx, log, 2)
+		time.Sleep(time.Second)
+		is.Equal(snapshotOf(t, late.State()), snapshotOf(t, first.State()))
+
+		newer, err := encoding.Marshal(map[int]any{1: RecordVersion + 1})
+		is.NoErr(err)
+		_, err = log.Append(ctx, Stream, newer)
+		is.NoErr(err)
+		_, err = submit(ctx, late, 5, put(t, domain("medina"), 0))
+		is.True(errors.Is(err, ErrNotKnown))
+		is.Equal(late.State().Position(), uint64(3))
+		is.True(strings.Contains(late.Status().Fault, "newer version"))
+		is.Equal(len(late.State().View().FailureDomains()), 1)
+	})
+}
--- a/internal/operator/helpers_test.go
+++ b/internal/operator/helpers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -19,6 +20,7 @@
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 const testToken = "operators-secret-7d1f"
@@ -58,9 +60,17 @@
 func (f *fixture) startVM(name string) testVM { return f.startVMOn(name, f.log) }
 
 func (f *fixture) startVMOn(name string, log platform.Log) testVM {
-	follower := config.NewFollower(log, config.NewState(), zap.NewNop(), rand.New(rand.NewPCG(1, 1)))
+	core, logged := observer.New(zap.DebugLevel)
+	f.t.Cleanup(func() {
+		for _, entry := range logged.All() {
+			if strings.Contains(fmt.Sprint(entry.Message, entry.ContextMap()), testToken) {
+				f.t.Errorf("a log line shows the token: %s", entry.Message)
+			}
+		}
+	})
+	follower := config.NewFollower(log, config.NewState(), zap.New(core), rand.New(rand.NewPCG(1, 1)))
 	go func() { _ = follower.Run(f.ctx) }()
-	options := Options{Follower: follower, Status: fakeStatus{}, Token: testToken, Logger: zap.NewNop()}
+	options := Options{Follower: follower, Status: fakeStatus{}, Token: testToken, Logger: zap.New(core)}
 	server := &http.Server{Handler: NewHandler(options)}
 	listener := f.network.listen(name)
 	go func() { _ = server.Serve(listener) }()
@@ -68,6 +78,14 @@
 	return testVM{name: name, follower: follower, server: server}
 }
 
+// startFrozen accepts connections and never answers.
+func (f *fixture) startFrozen(name string) {
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })}
+	listener := f.network.listen(name)
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+}
+
 func (f *fixture) transport() *http.Transport {
 	transport := &http.Transport{DialContext: f.network.dial}
 	f.t.Cleanup(transport.CloseIdleConnections)
--- a/internal/operator/watch_test.go
+++ b/internal/operator/watch_test.go
@@ -92,3 +92,26 @@
 		is.Equal(collect(1), []string{"reset ", "put a", "put b", "put c"})
 	})
 }
+
+// Guards against a watch or a call that waits for a frozen VM for ever.
+func TestFrozenVM(t *testing.T) {
+	inBubble(t, func(f *fixture) {
+		is := is.New(f.t)
+		f.startFrozen("frozen")
+		live := f.startVM("vm1")
+		_, err := f.client(live).Apply(f.ctx, putDomain(1, "a", 0))
+		is.NoErr(err)
+		c := f.client(testVM{name: "frozen"}, live)
+		list, err := c.List(f.ctx, "")
+		is.NoErr(err)
+		is.Equal(len(list.Items), 1)
+		c = f.client(testVM{name: "frozen"}, live)
+		err = c.Watch(f.ctx, client.WatchOptions{}, func(event api.Event) error {
+			if event.Type == api.EventPut {
+				return errEnough
+			}
+			return nil
+		})
+		is.Equal(err, errEnough)
+	})
+}
