--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -23,10 +23,6 @@
 	"fireflyfield/internal/snapshot"
 )
 
-// snapshotPolicy keeps the tail that a new VM replays short; the platform retains
-// records for longer than an hour.
-var snapshotPolicy = snapshot.Policy{Records: 1000, Age: time.Hour, MaxDelay: 30 * time.Second}
-
 // VM is one running VM.
 type VM struct {
 	options  Options
@@ -136,7 +132,7 @@
 func (v *VM) startBackground(ctx context.Context) {
 	v.background.Go(func() { v.fleet.follow(ctx, v.platform, v.logger) })
 	v.background.Go(func() { _ = v.follower.Run(ctx) }) // ends with the context only
-	snapshotter := config.NewSnapshotter(v.platform, v.follower, snapshotPolicy, v.logger, newRandom())
+	snapshotter := config.NewSnapshotter(v.platform, v.follower, snapshot.DefaultPolicy, v.logger, newRandom())
 	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
 	v.background.Go(func() { v.roles.run(ctx) })
 	v.background.Go(func() { v.followConfig(ctx) })
