--- a/internal/ownership/actions.go
+++ b/internal/ownership/actions.go
@@ -46,6 +46,14 @@
 	}
 	// Publish distributes the domain map.
 	Publish struct{ Map DomainMap }
+	// SendMap sends the domain map to a member that reported an older one.
+	SendMap struct {
+		To  Member
+		Map DomainMap
+	}
+	// ProbePeer connects to a silent decider; the answer is PeerEnded if the
+	// connection is refused or another instance answers, and nothing otherwise.
+	ProbePeer struct{ Member Member }
 	// SetRoles gives the roles that this VM has; see RoleLease.Valid.
 	SetRoles struct{ Lease RoleLease }
 	// StopUnits asks the gate to stop sending requests for the units of a backend
@@ -86,6 +94,8 @@
 func (SendHeartbeat) action()  {}
 func (ReplyHeartbeat) action() {}
 func (Publish) action()        {}
+func (SendMap) action()        {}
+func (ProbePeer) action()      {}
 func (SetRoles) action()       {}
 func (StopUnits) action()      {}
 func (Stopped) action()        {}
--- a/internal/ownership/decider.go
+++ b/internal/ownership/decider.go
@@ -118,6 +118,8 @@
 	case ConfigChanged:
 		d.config = e.Config
 		d.replan()
+	case MapReceived:
+		d.mapReceived(e.Term, e.Version)
 	case StopRequested:
 		d.leaving = true
 	default:
@@ -202,6 +204,7 @@
 	synced bool
 
 	version     uint64
+	published   DomainMap
 	changed     bool
 	publishedAt time.Duration
 }
@@ -224,8 +227,10 @@
 	splits map[keyspace.Unit]bool
 	merges map[keyspace.Unit]bool
 	// leaves holds the slices that are on the way to another failure domain.
-	leaves    map[keyspace.Unit]*leaveRun
-	leaveAt   time.Duration
+	leaves  map[keyspace.Unit]*leaveRun
+	leaveAt time.Duration
+	// usable holds the last known answer of Decider.usable per backend server.
+	usable    map[string]bool
 	planned   bool
 	plannedAt time.Duration
 }
--- a/internal/ownership/events.go
+++ b/internal/ownership/events.go
@@ -102,6 +102,11 @@
 		Seq    uint64
 		Units  []keyspace.Unit
 	}
+	// MapReceived says that the VM has a domain map of its own failure domain.
+	MapReceived struct {
+		Term    Term
+		Version uint64
+	}
 	// StopRequested asks for a planned stop of the VM.
 	StopRequested struct{}
 )
@@ -127,6 +132,7 @@
 func (ConfigChanged) event()     {}
 func (LoadReported) event()      {}
 func (UnitsStopped) event()      {}
+func (MapReceived) event()       {}
 func (StopRequested) event()     {}
 
 // Heartbeat is sent by a decider to each member. The Roles replace those that the
@@ -146,7 +152,10 @@
 	Unconfirmed bool `cbor:"10,keyasint,omitempty"`
 	// MapVersion is the version of the domain map that the Roles belong to.
 	MapVersion uint64 `cbor:"11,keyasint,omitempty"`
-	Roles      []Role `cbor:"7,keyasint,omitempty"`
+	// Release says that the decider has dropped the member's promise and will not
+	// rely on one before the member gives it again.
+	Release bool   `cbor:"12,keyasint,omitempty"`
+	Roles   []Role `cbor:"7,keyasint,omitempty"`
 	// Echo and Expires are readings of the member's own monotonic clock.
 	Echo    time.Duration `cbor:"8,keyasint"`
 	Expires time.Duration `cbor:"9,keyasint"`
@@ -163,6 +172,9 @@
 	// Promise says that the member will not claim for PromiseDuration.
 	Promise bool   `cbor:"6,keyasint,omitempty"`
 	Roles   []Role `cbor:"7,keyasint,omitempty"`
+	// MapTerm and MapVersion are those of the newest domain map of the member.
+	MapTerm    Term   `cbor:"9,keyasint"`
+	MapVersion uint64 `cbor:"10,keyasint"`
 	// Leaving asks the decider to move the member's roles and to remove it.
 	Leaving bool `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/ownership/gates.go
+++ b/internal/ownership/gates.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -34,7 +35,8 @@
 // pumpGates stops the units that have to leave backend servers which do not check
 // grants.
 func (d *Decider) pumpGates(run *serviceRun) {
-	for name, server := range run.servers {
+	for _, name := range slices.Sorted(maps.Keys(run.servers)) {
+		server := run.servers[name]
 		stop := run.gates[name]
 		if stop == nil {
 			stop = &gateStop{changedAt: d.now.Mono}
--- a/internal/ownership/leave.go
+++ b/internal/ownership/leave.go
@@ -156,29 +156,32 @@
 // pumpLeaves records the release of slices that nobody holds any more and whose
 // hot keys were merged back.
 func (d *Decider) pumpLeaves(run *serviceRun) {
-	type destination struct {
-		to    string
-		epoch uint64
-	}
-	batches := make(map[destination][]keyspace.Unit)
+	batches := make(map[Released][]keyspace.Unit)
 	parents := d.hotParents(run)
 	for unit, leave := range run.leaves {
 		if !leave.sent && !parents[unit] && d.free(run, unit, "") {
 			leave.sent = true
-			key := destination{leave.to, leave.epoch}
+			key := Released{Epoch: leave.epoch, To: leave.to}
 			batches[key] = append(batches[key], unit)
 		}
 	}
-	for to, units := range batches {
+	for _, to := range sortedDestinations(batches) {
+		units := batches[to]
 		slices.Sort(units)
 		for chunk := range slices.Chunk(units, MaxRecordUnits) {
 			d.append(DomainStream, Record{Release: &Release{
-				Term: d.lead.term, Service: run.config.Name, To: to.to, Epoch: to.epoch, Slices: chunk,
+				Term: d.lead.term, Service: run.config.Name, To: to.To, Epoch: to.Epoch, Slices: chunk,
 			}})
 		}
 	}
 }
 
+func sortedDestinations(batches map[Released][]keyspace.Unit) []Released {
+	return slices.SortedFunc(maps.Keys(batches), func(a, b Released) int {
+		return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Epoch, b.Epoch))
+	})
+}
+
 func (d *Decider) hotParents(run *serviceRun) map[keyspace.Unit]bool {
 	parents := make(map[keyspace.Unit]bool)
 	for unit := range d.state.Service(run.config.Name).Hot {
@@ -223,8 +226,8 @@
 			batches[key] = append(batches[key], unit)
 		}
 	}
-	for to, units := range batches {
-		for chunk := range slices.Chunk(units, MaxRecordUnits) {
+	for _, to := range sortedDestinations(batches) {
+		for chunk := range slices.Chunk(batches[to], MaxRecordUnits) {
 			d.append(HomesStream, Record{Home: &Home{
 				Service: run.config.Name, To: to.To, Epoch: to.Epoch, Slices: chunk,
 			}})
--- a/internal/ownership/lessee.go
+++ b/internal/ownership/lessee.go
@@ -31,6 +31,7 @@
 	sentAt      time.Duration
 	sentKeys    []K
 	sentExpires time.Duration
+	renewedAt   time.Duration
 	lastAnswer  time.Duration
 }
 
--- a/internal/ownership/log.go
+++ b/internal/ownership/log.go
@@ -1,6 +1,11 @@
 package ownership
 
-import "time"
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"time"
+)
 
 // readState is the progress of reading one stream.
 type readState struct {
@@ -47,13 +52,20 @@
 	if !d.logAnswers() {
 		return
 	}
-	for _, pending := range d.appends {
+	for _, pending := range d.sortedAppends() {
 		if !pending.inFlight && !pending.done && d.confirmedAfter(pending.stream, pending.lostAt) {
 			d.sendAppend(pending)
 		}
 	}
 }
 
+// sortedAppends orders the records so that equal inputs give equal actions.
+func (d *Decider) sortedAppends() []*pendingAppend {
+	return slices.SortedFunc(maps.Values(d.appends), func(a, b *pendingAppend) int {
+		return bytes.Compare(a.record.ID[:], b.record.ID[:])
+	})
+}
+
 func (d *Decider) pumpRead(stream Stream) {
 	read := &d.reads[stream]
 	since := d.now.Mono - read.sentAt
@@ -152,6 +164,11 @@
 	}
 	pending.inFlight = false
 	pending.done = true
+	if pending.record.Claim != nil || pending.record.Release != nil {
+		// Read it back at once: keys may be without an owner until then.
+		d.reads[pending.stream].sentAt = 0
+		d.reads[pending.stream].outstanding = false
+	}
 	d.unitsRecorded(pending)
 }
 
--- a/internal/ownership/member.go
+++ b/internal/ownership/member.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,6 +20,9 @@
 	// clock does not count.
 	voidBefore time.Duration
 	claiming   bool
+	mapTerm    Term
+	mapVersion uint64
+	probedAt   time.Duration
 	joinedAt   time.Duration
 	epochSent  uint64
 }
@@ -51,6 +55,9 @@
 	if !h.Query {
 		d.acceptRoles(h)
 	}
+	if h.Release {
+		d.endPromise(h.From)
+	}
 	d.replyHeartbeat(h)
 }
 
@@ -78,6 +85,9 @@
 		Now:     d.now.Mono,
 		Roles:   d.heldRoles(),
 		Leaving: d.leaving,
+
+		MapTerm:    d.member.mapTerm,
+		MapVersion: d.member.mapVersion,
 	}
 	if d.mayPromise(h) {
 		reply.Promise = true
@@ -106,15 +116,22 @@
 // peerEnded notes the proof that a process ended. A promise protects only the
 // decider that got it, and its leases end within OutageLease.
 func (d *Decider) peerEnded(member Member) {
-	if _, promised := d.member.promises[member]; promised {
-		delete(d.member.promises, member)
-		d.longUntil = max(d.longUntil, d.now.Mono+OutageLease+WaitMargin)
-	}
+	d.endPromise(member)
 	if d.lead != nil {
 		d.lead.endedMembers[member] = true
 	}
 }
 
+// endPromise allows claims again after the proof that the decider's process ended
+// or after it released the promise. Leases that it granted may still run.
+func (d *Decider) endPromise(decider Member) {
+	if _, promised := d.member.promises[decider]; !promised {
+		return
+	}
+	delete(d.member.promises, decider)
+	d.longUntil = max(d.longUntil, d.now.Mono+OutageLease+WaitMargin)
+}
+
 // longBound is the local time until which a lease of OutageLease may be held. A
 // promise may have let its decider grant such leases until the promise ends.
 func (d *Decider) longBound() time.Duration {
@@ -145,6 +162,7 @@
 		d.pumpLeaving()
 		return
 	}
+	d.pumpProbe()
 	d.pumpJoin()
 	d.pumpClaim()
 }
@@ -156,6 +174,26 @@
 	}
 }
 
+// pumpProbe looks for the proof that a silent decider which has a promise ended.
+func (d *Decider) pumpProbe() {
+	m := &d.member
+	if d.now.Mono-m.lastHeartbeat <= ClaimAfter || d.now.Mono-m.probedAt < HeartbeatInterval {
+		return
+	}
+	m.probedAt = d.now.Mono
+	for _, decider := range slices.SortedFunc(maps.Keys(m.promises), compareMembers) {
+		d.emit(ProbePeer{Member: decider})
+	}
+}
+
+func (d *Decider) mapReceived(term Term, version uint64) {
+	m := &d.member
+	if term < m.mapTerm || term == m.mapTerm && version < m.mapVersion {
+		return
+	}
+	m.mapTerm, m.mapVersion = term, version
+}
+
 func (d *Decider) pumpJoin() {
 	if d.state.Term == 0 || d.state.IsMember(d.options.Self) || !d.logAnswers() {
 		return
--- a/internal/ownership/members.go
+++ b/internal/ownership/members.go
@@ -31,9 +31,11 @@
 }
 
 func (d *Decider) sortedMembers() []Member {
-	return slices.SortedFunc(maps.Keys(d.lead.members), func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Instance, b.Instance))
-	})
+	return slices.SortedFunc(maps.Keys(d.lead.members), compareMembers)
+}
+
+func compareMembers(a, b Member) int {
+	return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Instance, b.Instance))
 }
 
 func (d *Decider) heartbeatSelf() {
@@ -75,6 +77,10 @@
 		Echo:        m.echo,
 		MapVersion:  d.lead.version,
 	}
+	if _, promised := d.lead.promises[member]; promised && ground == byLog && d.logAnswers() {
+		heartbeat.Release = true
+		delete(d.lead.promises, member)
+	}
 	var expires time.Duration
 	if !heartbeat.Query {
 		expires = m.echo + ground.lease()
@@ -118,6 +124,7 @@
 		d.lead.promises[reply.From] = d.lead.sentInstants[reply.From]
 	}
 	d.lead.leavingVMs[reply.From] = reply.Leaving
+	d.sendMissingMap(reply)
 }
 
 // admit makes processes that joined members. While a lease of the outage duration
@@ -128,7 +135,8 @@
 	if d.authority() != byLog || !d.logAnswers() || now < d.lead.wait || now < d.longBound() {
 		return
 	}
-	for vm, instance := range d.state.Joins {
+	for _, vm := range slices.Sorted(maps.Keys(d.state.Joins)) {
+		instance := d.state.Joins[vm]
 		member := Member{VM: vm, Instance: instance}
 		isAdmit := func(r Record) bool { return r.Admit != nil && r.Admit.Member == member }
 		if vm != d.options.Self.VM && !d.appending(isAdmit) {
--- a/internal/ownership/publish.go
+++ b/internal/ownership/publish.go
@@ -23,7 +23,20 @@
 	lead.changed = false
 	lead.publishedAt = d.now.Mono
 	lead.version++
-	d.emit(Publish{Map: d.domainMap()})
+	lead.published = d.domainMap()
+	d.member.mapTerm, d.member.mapVersion = lead.term, lead.version
+	d.emit(Publish{Map: lead.published})
+}
+
+// sendMissingMap sends the map again to a member that does not have it although
+// it was published a while ago.
+func (d *Decider) sendMissingMap(reply HeartbeatReply) {
+	lead := d.lead
+	has := DomainMap{Term: reply.MapTerm, Version: reply.MapVersion}
+	if lead.version == 0 || !has.before(lead.published) || d.now.Mono-lead.publishedAt < HeartbeatInterval {
+		return
+	}
+	d.emit(SendMap{To: reply.From, Map: lead.published})
 }
 
 func (d *Decider) domainMap() DomainMap {
--- a/internal/ownership/servers.go
+++ b/internal/ownership/servers.go
@@ -78,6 +78,7 @@
 		frozen:  make(map[keyspace.Unit]int),
 		splits:  make(map[keyspace.Unit]bool),
 		merges:  make(map[keyspace.Unit]bool),
+		usable:  make(map[string]bool),
 		leaves:  make(map[keyspace.Unit]*leaveRun),
 	}
 }
@@ -94,6 +95,7 @@
 	} else {
 		d.pumpGates(run)
 	}
+	d.watchServers(run)
 	d.pumpHot(run)
 	d.plan(run)
 	d.pumpUnits(run)
@@ -105,6 +107,17 @@
 	}
 }
 
+// watchServers plans anew when a backend server became usable or lost.
+func (d *Decider) watchServers(run *serviceRun) {
+	for name := range run.servers {
+		usable := d.usable(run, name)
+		if usable != run.usable[name] {
+			run.usable[name] = usable
+			run.planned = false
+		}
+	}
+}
+
 func (d *Decider) expireServers(run *serviceRun) {
 	for _, server := range run.servers {
 		if server.outstanding && d.now.Mono-server.sentAt > requestTimeout {
@@ -154,15 +167,32 @@
 		return
 	}
 	grants, revokes := d.pendingFor(run, name)
-	if len(grants)+len(revokes) == 0 && now-server.sentAt < RenewInterval {
+	renew := ground == byLog || now-server.renewedAt >= RenewInterval
+	if ground == byPromises && renew {
+		grants = nil
+	}
+	if len(grants)+len(revokes) == 0 && now-server.renewedAt < RenewInterval {
 		return
 	}
-	d.sendGrant(id, server, ground, grants, revokes)
+	d.sendGrant(id, server, ground.messageLease(renew), renew, grants, revokes)
+}
+
+// messageLease returns the lease of a message. New grants are made for
+// LeaseDuration only, in messages that renew nothing during an outage: a grant
+// whose answer is lost keeps its unit from other backend servers until it expires.
+func (a authority) messageLease(renew bool) time.Duration {
+	if !renew {
+		return LeaseDuration
+	}
+	return a.lease()
 }
 
-func (d *Decider) sendGrant(id ServerID, server *lessee[keyspace.Unit], ground authority, grants []HeldUnit, revokes []keyspace.Unit) {
-	expires := server.echo + ground.lease()
-	if ground == byPromises {
+func (d *Decider) sendGrant(id ServerID, server *lessee[keyspace.Unit], lease time.Duration, renew bool, grants []HeldUnit, revokes []keyspace.Unit) {
+	expires := server.echo + lease
+	if renew {
+		server.renewedAt = d.now.Mono
+	}
+	if lease > LeaseDuration {
 		d.longUntil = max(d.longUntil, d.now.Mono+OutageLease+WaitMargin)
 	}
 	keys := make([]keyspace.Unit, len(grants))
@@ -176,7 +206,7 @@
 		Instance: server.instance,
 		Term:     d.lead.term,
 		Expires:  expires,
-		Renew:    true,
+		Renew:    renew,
 		Grant:    grants,
 		Revoke:   revokes,
 	})
