--- a/internal/ownership/clock.go
+++ b/internal/ownership/clock.go
@@ -30,6 +30,8 @@
 	clockJump = 200 * time.Millisecond
 	// requestTimeout ends the wait for one reply of a backend server or member.
 	requestTimeout = 250 * time.Millisecond
+	// revokeInterval is the time between revokes of units whose requests still run.
+	revokeInterval = 10 * time.Millisecond
 	// lostAfter is the time without a reply after which another owner is planned.
 	lostAfter = 600 * time.Millisecond
 	// removeAfter is the time without a reply after which a member is removed.
--- a/internal/ownership/decider.go
+++ b/internal/ownership/decider.go
@@ -197,6 +197,7 @@
 	leavingVMs   map[Member]bool
 	handoffAt    time.Duration
 	roles        map[Role]Member
+	rolesAt      time.Duration
 
 	services map[string]*serviceRun
 
--- a/internal/ownership/fault_test.go
+++ b/internal/ownership/fault_test.go
@@ -287,7 +287,7 @@
 				}
 			}
 			slices.Sort(gaps)
-			t.Logf("unavailable: median %v, worst %v", gaps[faultSeeds/2], gaps[faultSeeds-1])
+			t.Logf("%s: unavailable median %v, worst %v", s.name, gaps[faultSeeds/2], gaps[faultSeeds-1])
 			is.True(s.limit == 0 || gaps[faultSeeds-1] <= s.limit)
 		})
 	}
--- a/internal/ownership/publish.go
+++ b/internal/ownership/publish.go
@@ -17,6 +17,9 @@
 	if !lead.changed || lead.relinquished || lead.superseded || d.authority() == noAuthority {
 		return
 	}
+	if lead.version == 0 && !d.settled() {
+		return
+	}
 	if lead.version > 0 && d.now.Mono-lead.publishedAt < publishInterval {
 		return
 	}
@@ -28,6 +31,22 @@
 	d.emit(Publish{Map: lead.published})
 }
 
+// settled reports whether the backend servers were asked what they hold. Until then
+// the map of the former decider is more complete, and fencing keeps it safe.
+func (d *Decider) settled() bool {
+	if d.now.Mono-d.lead.since > lostAfter {
+		return true
+	}
+	for _, run := range d.lead.services {
+		for _, server := range run.servers {
+			if run.config.ChecksGrants && !server.answered {
+				return false
+			}
+		}
+	}
+	return len(d.lead.services) > 0
+}
+
 // sendMissingMap sends the map again to a member that does not have it although
 // it was published a while ago.
 func (d *Decider) sendMissingMap(reply HeartbeatReply) {
--- a/internal/ownership/roles.go
+++ b/internal/ownership/roles.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"fireflyfield/internal/keyspace"
 )
@@ -12,6 +13,9 @@
 // idempotency keys.
 const IdempotencyService = "idempotency"
 
+// rolesInterval is the time between two looks at the roles.
+const rolesInterval = 50 * time.Millisecond
+
 // IdempotencyPartitions is the number of its slices.
 const IdempotencyPartitions = 64
 
@@ -19,6 +23,10 @@
 // lost or leaving.
 func (d *Decider) pumpRoles() {
 	lead := d.lead
+	if lead.rolesAt != 0 && d.now.Mono-lead.rolesAt < rolesInterval {
+		return
+	}
+	lead.rolesAt = d.now.Mono
 	wanted := d.wantedRoles()
 	for role := range lead.roles {
 		if !wanted[role] || !d.keepsRole(lead.roles[role]) {
--- a/internal/ownership/servers.go
+++ b/internal/ownership/servers.go
@@ -171,7 +171,9 @@
 	if ground == byPromises && renew {
 		grants = nil
 	}
-	if len(grants)+len(revokes) == 0 && now-server.renewedAt < RenewInterval {
+	due := len(grants) > 0 || now-server.renewedAt >= RenewInterval ||
+		len(revokes) > 0 && now-server.sentAt >= revokeInterval
+	if !due {
 		return
 	}
 	d.sendGrant(id, server, ground.messageLease(renew), renew, grants, revokes)
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -50,6 +50,9 @@
 type holding struct {
 	token   Token
 	expires time.Duration
+	// stopping holds run no new request and are given up when the last one ended.
+	stopping bool
+	lastRun  time.Duration
 }
 
 type fakeServer struct {
@@ -412,11 +415,14 @@
 
 func (w *world) applyGrant(s *fakeServer, a SendGrant, now time.Duration) {
 	for _, unit := range a.Revoke {
-		if _, held := s.held[unit]; held {
-			delete(s.held, unit)
-			w.note("revoke", unit, s)
+		h, held := s.held[unit]
+		if !held {
+			continue
 		}
+		h.stopping = true
+		s.held[unit] = h
 	}
+	w.endStopping(s)
 	if a.Expires <= now {
 		return
 	}
@@ -427,16 +433,29 @@
 		}
 	}
 	for _, grant := range a.Grant {
-		s.held[grant.Unit] = holding{grant.Token, a.Expires}
+		s.held[grant.Unit] = holding{token: grant.Token, expires: a.Expires, lastRun: s.held[grant.Unit].lastRun}
 		w.note("grant", grant.Unit, s)
 	}
 }
 
+// endStopping gives up revoked units whose last request has ended.
+func (w *world) endStopping(s *fakeServer) {
+	for unit, h := range s.held {
+		if h.stopping && (h.lastRun == 0 || w.now >= h.lastRun+w.runFor) {
+			delete(s.held, unit)
+			w.note("revoke", unit, s)
+		}
+	}
+}
+
 func (w *world) note(kind string, unit keyspace.Unit, s *fakeServer) {
 	w.events = append(w.events, ownerEvent{at: w.now, kind: kind, unit: unit, server: s.id.Name, until: w.now + w.runFor})
 }
 
 func (w *world) lapse(s *fakeServer) {
+	if !s.frozen {
+		w.endStopping(s)
+	}
 	now := s.clock.mono(w.now)
 	for unit, h := range s.held {
 		if h.expires <= now {
@@ -575,9 +594,12 @@
 	if !s.checks {
 		return w.requestByGate(vm, s, slice)
 	}
-	if held, ok := s.held[slice]; !ok || held.token != owner.Token {
+	held, ok := s.held[slice]
+	if !ok || held.stopping || held.token != owner.Token {
 		return false
 	}
+	held.lastRun = w.now
+	s.held[slice] = held
 	w.note("run", slice, s)
 	return true
 }
