--- a/internal/ownership/clock.go
+++ b/internal/ownership/clock.go
@@ -22,8 +22,10 @@
 	OutageLease = 30 * time.Second
 	// PromiseDuration is how long a member that gave a promise does not claim.
 	PromiseDuration = 60 * time.Second
-	// RenewInterval is the time between renewals at one backend server.
-	RenewInterval = 200 * time.Millisecond
+	// RenewInterval is the time between renewals at one backend server. With 200 ms
+	// a lease could end 500 ms after the loss of the decider, before its successor
+	// renews it.
+	RenewInterval = 100 * time.Millisecond
 	// WaitMargin is added to every wait to allow for clock rate differences.
 	WaitMargin = 50 * time.Millisecond
 	// clockJump is the difference between the two clocks that counts as a suspend.
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -41,6 +41,7 @@
 	inbox     []Event
 	logCut    bool
 	cut       bool
+	peerCut   bool
 	stopped   bool
 	restarts  int
 	gateBlock map[ServerID]map[keyspace.Unit]uint64
@@ -117,6 +118,12 @@
 	measure bool
 	refuse  bool
 	runFor  time.Duration
+	// delayGrant returns an extra delay of a message to a backend server.
+	delayGrant func(vm *fakeVM, a SendGrant) time.Duration
+	// blocked reports whether a VM can't reach a backend server.
+	blocked func(vm *fakeVM, s *fakeServer) bool
+	// keys are requested through Table.Lookup, besides one request per slice.
+	keys []string
 }
 
 func newWorld(seed uint64, domains []string, vms, servers int, checks bool) *world {
@@ -233,7 +240,7 @@
 	case SendMap:
 		target := w.vm(a.To.VM)
 		w.after(func() {
-			if !vm.cut && !target.cut {
+			if !vm.cut && !target.cut && !vm.peerCut && !target.peerCut {
 				w.takeMap(target, a.Map)
 			}
 		})
@@ -255,7 +262,7 @@
 	target := w.vm(to.VM)
 	sender := from.member
 	w.after(func() {
-		if from.cut || target.cut {
+		if from.cut || target.cut || from.peerCut || target.peerCut {
 			return
 		}
 		if !target.up || target.member != to {
@@ -276,7 +283,7 @@
 func (w *world) publish(from *fakeVM, published DomainMap) {
 	for _, vm := range w.vms {
 		w.after(func() {
-			if vm == from || !vm.cut && !from.cut {
+			if vm == from || !vm.cut && !from.cut && !vm.peerCut && !from.peerCut {
 				w.takeMap(vm, published)
 			}
 		})
@@ -361,8 +368,14 @@
 func (w *world) sendGrant(vm *fakeVM, a SendGrant) {
 	server := w.server(a.Server.Name)
 	member := vm.member
-	w.after(func() {
-		if vm.cut || server.cut {
+	send := w.after
+	if w.delayGrant != nil {
+		if delay := w.delayGrant(vm, a); delay > 0 {
+			send = func(run func()) { w.at(w.now+delay, run) }
+		}
+	}
+	send(func() {
+		if vm.cut || server.cut || w.blocked != nil && w.blocked(vm, server) {
 			return
 		}
 		if !server.up {
@@ -569,6 +582,11 @@
 			w.served[key] = w.now
 		}
 	}
+	for _, key := range w.keys {
+		for _, vm := range w.vms {
+			w.requestKey(vm, key)
+		}
+	}
 	if w.measure {
 		for _, last := range w.served {
 			w.gap = max(w.gap, w.now-last)
@@ -604,6 +622,24 @@
 	return true
 }
 
+// requestKey sends a request as a router does and notes a run under an identifier
+// of the key, whatever the unit is that it was sent under.
+func (w *world) requestKey(vm *fakeVM, key string) {
+	route := vm.table.Lookup("s", key)
+	if route.Status != Owned {
+		return
+	}
+	s := w.server(route.Server)
+	held, ok := s.held[route.Unit]
+	if !s.up || s.frozen || !ok || held.stopping || held.token != route.Token {
+		return
+	}
+	held.lastRun = w.now
+	s.held[route.Unit] = held
+	hash := keyspace.Unit(keyspace.HashKey("s", key))
+	w.events = append(w.events, ownerEvent{at: w.now, kind: "gate-run", unit: hash, server: s.id.Name, until: w.now + w.runFor})
+}
+
 // requestByGate sends through the gate, which follows its own table and lease.
 func (w *world) requestByGate(vm *fakeVM, s *fakeServer, slice keyspace.Unit) bool {
 	role := Role{Kind: RoleGate, Service: "s", Name: s.id.Name}
