Report load to the decider, poll health, read load reports

Cause: the decider got no load and no hot keys, backend servers that do not check grants were never found down, and pickers and new gates got no load reports.

Change: gates count requests/s by slice and find frequent keys (decayed counts, half-life two report intervals). Each VM sends them to the decider of its failure domain once a second (messageLoad: at most 512 slices and 128 keys, 6,553 bytes at the bound). The decider sums them, splits keys from 20% of a backend server's mean load (at least 20/s) and merges them after five reports below half of that. A new decider keeps the hot keys that it finds until its first report. The decider polls /control/health of keyed services without fencing every 250 ms (down after 3, up after 2). A gate's VM reads /control/load of unkeyed backend servers every 2 s (6 ms per probe: 0.3% of a backend server's time), gives it to the gate, and tells the VMs of its failure domain; a server whose gate is still raising its limit counts as cold whatever the report says.

Ruled out: counting by unit. A split would then leave the key's former load on its slice and cause moves of the slice; slices are counted whole and the hot keys' rates are subtracted at the decider.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -37,6 +37,8 @@
 	WarmAfter int
 	// LeaveDelay is passed on to the VMs.
 	LeaveDelay time.Duration
+	// LoadInterval is passed on to the VMs.
+	LoadInterval time.Duration
 }
 
 // Cluster is a running deployment.
@@ -191,6 +193,7 @@
 		OperatorListen: "127.0.0.1:0",
 		Platform:       c.platform,
 		LeaveDelay:     c.options.LeaveDelay,
+		LoadInterval:   c.options.LoadInterval,
 		Logger:         c.options.Logger,
 	})
 	if err != nil {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 
 	"fireflyfield/internal/admission"
 	"fireflyfield/internal/backend"
+	"fireflyfield/internal/keyspace"
 	"fireflyfield/internal/outcome"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/resource"
@@ -41,6 +42,8 @@
 type Set struct {
 	owners Owners
 	now    Clock
+	// meter counts the demand of keyed services; nil counts nothing.
+	meter *Meter
 
 	mu    sync.RWMutex
 	gates map[ServerID]*entry
@@ -50,14 +53,15 @@
 type entry struct {
 	address string
 	slots   int
+	slices  int
 	gate    *admission.Gate
 	client  *backend.Client
 	units   *unitGuard
 }
 
-// NewSet returns a set without gates.
-func NewSet(owners Owners, now Clock) *Set {
-	return &Set{owners: owners, now: now, gates: make(map[ServerID]*entry)}
+// NewSet returns a set without gates. The meter may be nil.
+func NewSet(owners Owners, now Clock, meter *Meter) *Set {
+	return &Set{owners: owners, now: now, meter: meter, gates: make(map[ServerID]*entry)}
 }
 
 // Server is a backend server with what its gate has to know.
@@ -115,6 +119,7 @@
 	return &entry{
 		address: server.Address,
 		slots:   spec.Slots,
+		slices:  spec.Slices,
 		gate:    gate,
 		client:  backend.NewClient(server.Address, spec.Connections),
 		units:   newUnitGuard(),
@@ -181,6 +186,9 @@
 	if !ok {
 		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "not-gate"}
 	}
+	if attempt.Keyed && s.meter != nil && existing.slices > 0 {
+		s.meter.Observe(attempt.Service, keyspace.Hash(attempt.KeyHash), existing.slices)
+	}
 	ticket, refusal := existing.gate.Admit(ctx, attempt.Workspace, attempt.Deadline())
 	if refusal.Refused() {
 		return nil, refused(refusal)
--- /dev/null
+++ b/internal/gate/load_test.go
@@ -0,0 +1,36 @@
+package gate
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fireflyfield/internal/keyspace"
+)
+
+// Guards against rates that are off by the decay, so that keys become hot too
+// early or too late, and against rates that stay after the demand ended.
+func TestMeterRates(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := NewMeter(2*time.Second, now)
+	hot := keyspace.HashKey("s", "hot")
+	for range 20 {
+		for range 100 {
+			m.Observe("s", hot, 8)
+		}
+		now = now.Add(time.Second)
+		m.Take(now, 10)
+	}
+	load := m.Take(now, 10)[0]
+	is.Equal(load.Service, "s")
+	is.Equal(load.Keys[0].Unit, hot.Hot())
+	// The counts of a second come at its beginning, so they have decayed by up to half a half-life.
+	is.True(math.Abs(load.Keys[0].Rate-100) < 20)
+	is.True(math.Abs(load.Slices[hot.Slice(8)]-100) < 20)
+	load = m.Take(now.Add(time.Minute), 10)[0]
+	is.Equal(len(load.Slices), 0)
+	is.Equal(len(load.Keys), 0)
+}
--- a/internal/ownership/decider.go
+++ b/internal/ownership/decider.go
@@ -221,7 +221,9 @@
 	active map[keyspace.Unit]*unitRun
 	load   map[keyspace.Unit]float64
 	hot    []keyspace.Unit
-	gates  map[string]*gateStop
+	// loadKnown is set by the first load report of this term.
+	loadKnown bool
+	gates     map[string]*gateStop
 	// frozen counts the reasons for which a unit must have no owner for now.
 	frozen map[keyspace.Unit]int
 	// splits and merges hold hot keys whose record is written.
--- a/internal/vm/assigner.go
+++ b/internal/vm/assigner.go
@@ -113,8 +113,10 @@
 		a.vm.table.UpdateHomes(homes)
 		a.vm.router.notify()
 	}
+	a.vm.loads.setDecider(a.decider.State().Decider.VM)
 	if leading := a.decider.IsDecider(); leading != a.leading {
 		a.leading = leading
+		a.vm.loads.lead(leading)
 		a.logger.Info("decider role", zap.Bool("held", leading), zap.Uint64("term", uint64(a.decider.State().Term)))
 	}
 }
--- a/internal/vm/messages.go
+++ b/internal/vm/messages.go
@@ -17,6 +17,7 @@
 	messageExchange
 	messageStatus
 	messageIdempotency
+	messageServerLoads
 )
 
 // Size limits of messages in bytes.
--- a/internal/vm/options.go
+++ b/internal/vm/options.go
@@ -42,6 +42,9 @@
 	// listener, in which the platform's balancer notices.
 	LeaveDelay time.Duration
 
+	// LoadInterval is the time between two load reports to the decider.
+	LoadInterval time.Duration
+
 	// Workers is the number of goroutines that carry out the actions of the
 	// decision logic; zero means four for each core.
 	Workers int
@@ -51,10 +54,11 @@
 
 // Defaults and limits of options.
 const (
-	DefaultStopTimeout = 30 * time.Second
-	DefaultLeaveDelay  = 3 * time.Second
-	maxStopTimeout     = 10 * time.Minute
-	workersPerCore     = 4
+	DefaultStopTimeout  = 30 * time.Second
+	DefaultLeaveDelay   = 3 * time.Second
+	DefaultLoadInterval = time.Second
+	maxStopTimeout      = 10 * time.Minute
+	workersPerCore      = 4
 )
 
 // Validate reports every fault together.
@@ -105,6 +109,9 @@
 	if o.Workers == 0 {
 		o.Workers = workersPerCore * runtime.NumCPU()
 	}
+	if o.LoadInterval == 0 {
+		o.LoadInterval = DefaultLoadInterval
+	}
 	if o.StopTimeout == 0 {
 		o.StopTimeout = DefaultStopTimeout
 	}
--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -26,6 +26,8 @@
 	peer.Handle(server, messageStopUnits, heartbeatLimit, v.onStopUnits)
 	peer.Handle(server, messageHandover, smallLimit, v.onHandover)
 	peer.Handle(server, messageExchange, smallLimit, v.onExchange)
+	peer.Handle(server, messageLoad, smallLimit, v.onLoad)
+	peer.Handle(server, messageServerLoads, smallLimit, v.onServerLoads)
 	peer.Handle(server, messageQuota, recordsLimit, v.quotas.onMessage)
 }
 
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -39,6 +39,7 @@
 	roles    *roles
 	keyring  *callerkey.Keyring
 	quotas   *quotas
+	loads    *loads
 	assigner *assigner
 
 	callers   *listener
@@ -86,7 +87,8 @@
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
-	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow)
+	v.loads = newLoads(v)
+	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow, v.loads.meter)
 	v.keyring = callerkey.NewKeyring(time.Now())
 	v.quotas = newQuotas(v)
 	v.roles = newRoles(v, clock)
@@ -139,6 +141,9 @@
 	v.background.Go(func() { v.exchange(ctx) })
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
+	v.background.Go(func() { v.loads.run(ctx) })
+	v.background.Go(func() { v.watchServers(ctx) })
+	v.background.Go(func() { v.readServerLoads(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
 	}
