Harden the callers' listener; set gates' usual latency; test cold starts

Gates: SetUsualLatency had no caller, so a service slower than 20 ms (twice the assumed 10 ms) never left a limit of one request per backend server. The VM now gives each gate the median latency of its warm gates of the service.

Cold start: four restarts without warning under that load, reports honest and misleading.

Abandoned requests: a caller's hang-up and the deadline (answer "unknown" after 5.0 s) end the run at the stand-in, through local and remote gates.

Listener: net/http removes Content-Length beside Transfer-Encoding, and Transfer-Encoding in HTTP/1.0, before a handler sees them, and serves what follows as the next request. Chunked and HTTP/1.0 requests now end their connection; CONNECT gets 405. Already refused by net/http: bad chunk sizes, several Content-Length, spaces in names, connection headers in HTTP/2, oversized headers. A folded header line is joined as RFC 9112 allows.

Bodies: 256 slow bodies of 1 MiB of one workspace took the memory for all; a workspace now gets at most a quarter.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -22,12 +22,12 @@
 	if r.ContentLength > 0 {
 		reserved = r.ContentLength
 	}
-	if !h.bodies.TryAcquire(reserved) {
-		refusal := notRun(http.StatusServiceUnavailable, "body-memory", "this VM holds too many request bodies")
+	if !h.bodies.tryAcquire(request.Workspace, reserved) {
+		refusal := notRun(http.StatusServiceUnavailable, "body-memory", "this VM holds too many request bodies, of all workspaces or of this one")
 		refusal.RetryAfter = time.Second
 		return nil, nil, refusal
 	}
-	free := func() { h.bodies.Release(reserved) }
+	free := func() { h.bodies.release(request.Workspace, reserved) }
 	body, refusal := readAll(w, r, request)
 	if refusal != nil {
 		free()
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sync/semaphore"
 
 	"fireflyfield/internal/backend"
 	"fireflyfield/internal/callerkey"
@@ -75,13 +74,10 @@
 	// Leaving reports whether the VM is about to stop.
 	Leaving func() bool
 
-	bodies *semaphore.Weighted
+	bodies *bodyMemory
 	mux    *http.ServeMux
 }
 
-// maxBufferedBytes bounds the request bodies that one VM holds at a time.
-const maxBufferedBytes = 256 << 20
-
 // New returns a handler with the given parts.
 func New(auth Authenticator, limiter Limiter, services Services, dispatcher Dispatcher, observer Observer, leaving func() bool) *Handler {
 	h := &Handler{
@@ -91,7 +87,7 @@
 		Dispatcher: dispatcher,
 		Observer:   observer,
 		Leaving:    leaving,
-		bodies:     semaphore.NewWeighted(maxBufferedBytes),
+		bodies:     newBodyMemory(),
 		mux:        http.NewServeMux(),
 	}
 	h.mux.HandleFunc("/{service}/{rest...}", h.handle)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -83,6 +83,9 @@
 		return errors.Wrap(err, "listen")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	if standin, ok := handler.(*backendstandin.Server); ok {
+		server.ConnContext = standin.ConnContext
+	}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -115,6 +115,9 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	server := &http.Server{Addr: socket.Addr().String(), Handler: handler, ReadHeaderTimeout: 5 * time.Second, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	if standin, ok := handler.(*backendstandin.Server); ok {
+		server.ConnContext = standin.ConnContext
+	}
 	c.servers = append(c.servers, server)
 	go func() { _ = server.Serve(socket) }() // ends at Stop
 	return socket, nil
--- /dev/null
+++ b/internal/dev/faults_test.go
@@ -0,0 +1,152 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fireflyfield/internal/outcome"
+	backendstandin "fireflyfield/internal/standin/backend"
+)
+
+// stopCluster closes the test's spare connections first: a stop waits 5 s for
+// connections on which no request has come yet.
+func stopCluster(t *testing.T, cluster *Cluster) {
+	t.Helper()
+	http.DefaultClient.CloseIdleConnections()
+	if err := cluster.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+// floodKeys belong to workspaces that may send 1500 requests/s together.
+var floodKeys = []string{sampleKey, "example-key-pikine-nord", "example-key-gare-routiere"}
+
+// flood keeps the number of requests to the path in flight until the context ends,
+// spread over VMs and workspaces, and returns the answers by status.
+func flood(ctx context.Context, cluster *Cluster, path string, inFlight int) map[int]int {
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	statuses := make(map[int]int)
+	for i := range inFlight {
+		running.Go(func() {
+			address := cluster.VMs[i%len(cluster.VMs)].CallerAddress()
+			for ctx.Err() == nil {
+				status := 0
+				if resp, _, err := (call{method: "POST", path: path, key: floodKeys[i%len(floodKeys)]}).send(context.Background(), address); err == nil {
+					status = resp.StatusCode
+				}
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+				if status == http.StatusTooManyRequests {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+		})
+	}
+	running.Wait()
+	return statuses
+}
+
+// Guards against more load on a backend server in cold start than it bears, summed
+// over the VMs: at the start of the fleet, and after restarts without warning
+// under full load, also when the load reports say idle and warm.
+func TestColdStartUnderFullLoad(t *testing.T) {
+	for _, misleading := range []bool{false, true} {
+		t.Run(fmt.Sprintf("misleading=%t", misleading), func(t *testing.T) {
+			is := is.New(t)
+			cluster, err := Start(t.Context(), Options{Example: "dakar", Listen: "127.0.0.1:0", RunTime: 40 * time.Millisecond, WarmAfter: 40})
+			is.NoErr(err)
+			defer stopCluster(t, cluster)
+			for _, standin := range cluster.Backends {
+				standin.SetFaults(backendstandin.Faults{MisreportLoad: misleading})
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			restarts := make(chan struct{})
+			go func() {
+				defer close(restarts)
+				time.Sleep(2 * time.Second) // until the first cold start is over
+				for i := 1; i <= 4; i++ {
+					time.Sleep(500 * time.Millisecond)
+					cluster.Backends[fmt.Sprintf("rota-%d", i)].Restart()
+				}
+				time.Sleep(time.Second)
+				stop()
+			}()
+			statuses := flood(ctx, cluster, "/rota/plan", 64)
+			<-restarts
+			crashes, warm := 0, 0
+			for name, standin := range cluster.Backends {
+				crashes += standin.Crashes()
+				if standin.Crashes() > 0 {
+					t.Logf("%s fell over %d times", name, standin.Crashes())
+				}
+				if len(standin.Runs()) > 40 {
+					warm++
+				}
+			}
+			t.Logf("answers by status: %v, backend servers with more than 40 runs: %d", statuses, warm)
+			is.Equal(crashes, 0)
+			// One slot for each backend server answers 250 requests/s.
+			is.True(statuses[http.StatusOK] > 2*4*250)
+		})
+	}
+}
+
+// running returns the number of requests that run at the stand-ins.
+func runningAt(cluster *Cluster) int {
+	n := 0
+	for _, standin := range cluster.Backends {
+		n += standin.InFlight()
+	}
+	return n
+}
+
+func awaitIdle(cluster *Cluster) bool {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if runningAt(cluster) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against work that goes on at a backend server after its caller hung up or
+// its deadline passed, and against a late answer that is taken for "not run".
+func TestAbandonedRequestsAreCancelled(t *testing.T) {
+	is := is.New(t)
+	cluster, err := Start(t.Context(), Options{Example: "dakar", Listen: "127.0.0.1:0", RunTime: time.Minute})
+	is.NoErr(err)
+	defer stopCluster(t, cluster)
+	for _, path := range []string{"/rota/plan", "/entretien/bloc-17"} {
+		for _, started := range cluster.VMs { // local and remote gates
+			ctx, hangUp := context.WithCancel(t.Context())
+			var ended atomic.Bool
+			go func() {
+				_, _, _ = call{method: "POST", path: path, key: sampleKey}.send(ctx, started.CallerAddress())
+				ended.Store(true)
+			}()
+			for end := time.Now().Add(2 * time.Second); runningAt(cluster) == 0 && time.Now().Before(end); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			is.Equal(runningAt(cluster), 1)
+			hangUp()
+			is.True(awaitIdle(cluster))
+		}
+	}
+	begin := time.Now()
+	resp, _, err := call{method: "POST", path: "/entretien/bloc-17", key: sampleKey}.send(t.Context(), cluster.VMs[0].CallerAddress())
+	is.NoErr(err)
+	t.Logf("answered %d after %s", resp.StatusCode, time.Since(begin))
+	is.Equal(resp.Header.Get(outcome.Header), "unknown")
+	is.True(time.Since(begin) < 6*time.Second) // the service's timeout is 5 s
+	is.True(awaitIdle(cluster))
+	is.Equal(len(runCounts(cluster)), 0)
+}
--- a/internal/dev/hot_test.go
+++ b/internal/dev/hot_test.go
@@ -81,7 +81,7 @@
 	is := is.New(t)
 	cluster, err := Start(t.Context(), Options{Example: "dakar", Listen: "127.0.0.1:0", RunTime: time.Millisecond, LoadInterval: 100 * time.Millisecond})
 	is.NoErr(err)
-	defer func() { is.NoErr(cluster.Stop(context.Background())) }()
+	defer stopCluster(t, cluster)
 	first := "bloc-17"
 	second := neighbour(t, cluster, ownerOf(t, cluster, first))
 	load := &paced{cluster: cluster}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -238,6 +238,9 @@
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) (admission, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if outlived(r) {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(protocol.HeaderInstance, s.instance)
 	reason, status := s.refusalLocked(r)
 	if reason == protocol.ReasonShed && s.answered < s.options.WarmAfter {
@@ -343,3 +346,10 @@
 	}
 	_, _ = w.Write(answer) // the sender may be gone
 }
+
+// InFlight returns the number of requests that run now.
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.inFlight)
+}
--- a/internal/vm/load_test.go
+++ b/internal/vm/load_test.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"fireflyfield/internal/admission"
 	"fireflyfield/internal/gate"
 	"fireflyfield/internal/keyspace"
 	"fireflyfield/internal/ownership"
@@ -115,3 +116,21 @@
 	}
 	is.Equal(changes, []bool{false, true})
 }
+
+// Guards against a service slower than the gates' assumption that never leaves a
+// limit of one request, and against one slow or cold backend server deciding what
+// is usual.
+func TestUsualLatency(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int, warm bool, admitted uint64) admission.Snapshot {
+		return admission.Snapshot{Latency: time.Duration(ms) * time.Millisecond, Warm: warm, Admitted: admitted}
+	}
+	_, known := usualLatency([]admission.Snapshot{at(40, true, 3)})
+	is.True(!known)
+	usual, _ := usualLatency([]admission.Snapshot{at(400, false, 99), at(40, true, 99), at(45, true, 99), at(500, true, 99)})
+	is.Equal(usual, 45*time.Millisecond)
+	usual, _ = usualLatency([]admission.Snapshot{at(40, false, 99)})
+	is.Equal(usual, 40*time.Millisecond)
+	usual, _ = usualLatency([]admission.Snapshot{at(1, true, 99)})
+	is.Equal(usual, minUsualLatency)
+}
--- a/internal/vm/server_loads.go
+++ b/internal/vm/server_loads.go
@@ -53,6 +53,7 @@
 		case <-ctx.Done():
 			return
 		}
+		v.updateUsualLatency()
 		due := v.dueServerLoads(readAt, time.Now())
 		if len(due) == 0 {
 			continue
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -116,7 +116,7 @@
 	}
 	open(&v.peers, v.options.PeerListen, 0, peerServer(peerMux))
 	open(&v.operators, v.options.OperatorListen, 0, operatorServer(v.operatorHandler()))
-	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(handler))
+	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(guarded(handler)))
 	if faults != nil {
 		v.closeListeners()
 	}
