Keep requests inside the rate from being refused while a keeper moves

Cause: a keeper that takes over starts with an empty bucket; waiting requests were refused after 10 ms. Ruled out: issuing at the plain rate during recovery, which breaks the bound.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -212,11 +212,20 @@
 	return nil
 }
 
+// StopVM stops one VM as the platform does: the VM is listed as leaving, then it
+// stops, then it is taken off the list.
+func (c *Cluster) StopVM(ctx context.Context, stopped *vm.VM) error {
+	c.Platform.SetVM(platform.VM{Name: stopped.Name(), FailureDomain: stopped.FailureDomain(), PeerAddress: stopped.PeerAddress(), State: platform.VMLeaving})
+	err := stopped.Stop(ctx)
+	c.Platform.RemoveVM(stopped.Name())
+	return err
+}
+
 // Stop stops the VMs gracefully, then the stand-ins.
 func (c *Cluster) Stop(ctx context.Context) error {
 	var faults error
 	for _, started := range c.VMs {
-		if err := started.Stop(ctx); !errors.Is(err, vm.ErrStopping) {
+		if err := c.StopVM(ctx, started); !errors.Is(err, vm.ErrStopping) {
 			faults = multierr.Append(faults, err)
 		}
 	}
--- a/internal/dev/path_test.go
+++ b/internal/dev/path_test.go
@@ -166,7 +166,7 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	begin := time.Now()
-	is.NoErr(cluster.VMs[1].Stop(context.Background()))
+	is.NoErr(cluster.StopVM(context.Background(), cluster.VMs[1]))
 	t.Logf("stop took %s", time.Since(begin))
 	time.Sleep(200 * time.Millisecond)
 	stop()
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -16,9 +16,10 @@
 	MaxDefer time.Duration
 }
 
-// DefaultPolicy is used in production. MaxWait leaves room for one exchange with
-// the own keeper and one between failure domains; MaxDefer is below MaxWait so
-// that the reply still reaches waiting requests.
+// DefaultPolicy is used in production. MaxWait covers the move of a keeper's role
+// to another VM, during which nobody answers; a keeper without tokens says so and
+// ends the wait at once. MaxDefer leaves room for one exchange with a keeper of
+// another failure domain.
 var DefaultPolicy = Policy{
 	MaxWait:    10 * time.Millisecond,
 	Prefetch:   true,
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -23,13 +23,12 @@
 // fleet is the last known list of VMs. An entry stays known while the platform
 // does not answer.
 type fleet struct {
-	mu      sync.RWMutex
-	vms     map[string]platform.VM
-	changed chan struct{}
+	mu  sync.RWMutex
+	vms map[string]platform.VM
 }
 
 func newFleet() *fleet {
-	return &fleet{vms: make(map[string]platform.VM), changed: make(chan struct{})}
+	return &fleet{vms: make(map[string]platform.VM)}
 }
 
 // follow reads the list until the context ends.
@@ -61,19 +60,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if maps.Equal(f.vms, next) {
-		return
-	}
 	f.vms = next
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
-// changes returns a channel that is closed at the next change.
-func (f *fleet) changes() <-chan struct{} {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.changed
 }
 
 func (f *fleet) lookup(name string) (platform.VM, bool) {
@@ -103,6 +90,13 @@
 	return found
 }
 
+// hasSuccessor reports whether another VM of the failure domain is live.
+func (f *fleet) hasSuccessor(domain, name string) bool {
+	return slices.ContainsFunc(f.inDomain(domain), func(vm platform.VM) bool {
+		return vm.Name != name && vm.State == platform.VMLive
+	})
+}
+
 // except returns every VM but one, sorted by name.
 func (f *fleet) except(name string) []platform.VM {
 	return slices.DeleteFunc(f.all(), func(vm platform.VM) bool { return vm.Name == name })
--- a/internal/vm/quota.go
+++ b/internal/vm/quota.go
@@ -31,6 +31,7 @@
 	holder   *quota.Holder
 	instance uint64
 	wake     chan struct{}
+	waiting  chan struct{}
 
 	mu      sync.Mutex
 	limits  map[string]quota.Limit
@@ -45,6 +46,7 @@
 		holder:   quota.NewHolder(v.options.Name, v.options.FailureDomain, instance, quota.DefaultPolicy),
 		instance: instance,
 		wake:     make(chan struct{}, 1),
+		waiting:  make(chan struct{}, maxShortWaits),
 		limits:   make(map[string]quota.Limit),
 		keepers:  make(map[string]*quota.Keeper),
 	}
@@ -55,13 +57,9 @@
 	if !q.limited(workspace) {
 		return nil
 	}
-	decision := q.holder.Take(workspace, time.Now())
-	if decision.Outcome == quota.Waiting {
-		select {
-		case decision = <-decision.Wait:
-		case <-ctx.Done():
-			return rateRefusal(quota.RetryAfterUnknown)
-		}
+	decision := q.take(ctx, workspace)
+	if decision.Outcome != quota.Granted && q.waitForToken(ctx, decision.RetryAfter) {
+		decision = q.take(ctx, workspace)
 	}
 	if decision.Outcome == quota.Granted {
 		return nil
@@ -69,6 +67,43 @@
 	return rateRefusal(decision.RetryAfter)
 }
 
+func (q *quotas) take(ctx context.Context, workspace string) quota.Decision {
+	decision := q.holder.Take(workspace, time.Now())
+	if decision.Outcome != quota.Waiting {
+		return decision
+	}
+	select {
+	case decision = <-decision.Wait:
+		return decision
+	case <-ctx.Done():
+		return quota.Decision{RetryAfter: quota.RetryAfterUnknown}
+	}
+}
+
+const (
+	// shortWait is the longest advised time for which a request waits here instead
+	// of being refused. A keeper that has just taken over starts with an empty
+	// bucket and would refuse requests inside the rate.
+	shortWait = 50 * time.Millisecond
+	// maxShortWaits bounds the requests that wait in this way.
+	maxShortWaits = 1024
+)
+
+// waitForToken waits for a short time until the next token is expected.
+func (q *quotas) waitForToken(ctx context.Context, d time.Duration) bool {
+	if d > shortWait {
+		return false
+	}
+	select {
+	case q.waiting <- struct{}{}:
+		defer func() { <-q.waiting }()
+	default:
+		return false
+	}
+	sleep(ctx, d)
+	return ctx.Err() == nil
+}
+
 func rateRefusal(retryAfter time.Duration) *outcome.Refusal {
 	return &outcome.Refusal{
 		Kind:       outcome.NotRun,
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -166,6 +166,9 @@
 	}
 }
 
+// FailureDomain returns the failure domain of the VM.
+func (v *VM) FailureDomain() string { return v.options.FailureDomain }
+
 // CallerAddress returns HOST:PORT of the callers' listener.
 func (v *VM) CallerAddress() string { return v.callers.address() }
 
@@ -190,7 +193,7 @@
 	defer cancel()
 	sleep(ctx, v.options.LeaveDelay)
 	err := v.callers.shutdown(ctx)
-	if len(v.fleet.inDomain(v.options.FailureDomain)) > 1 && !v.assigner.requestStop(ctx) {
+	if v.fleet.hasSuccessor(v.options.FailureDomain, v.options.Name) && !v.assigner.requestStop(ctx) {
 		v.logger.Warn("duties of this VM did not move before the stop timeout")
 	}
 	v.stopWork()
