--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -43,11 +44,31 @@
 // process is one running program.
 type process struct {
 	command *exec.Cmd
-	stderr  bytes.Buffer
+	stderr  lockedBuffer
 	// ready is the first line of its output, split at spaces.
 	ready []string
 }
 
+// lockedBuffer collects the output of a process while a test reads it.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String returns what was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 const readyTimeout = 20 * time.Second
 
 func start(t *testing.T, args ...string) *process {
@@ -87,16 +108,6 @@
 // address returns HOST:PORT of the first listener.
 func (p *process) address() string { return strings.TrimPrefix(p.ready[1], "http://") }
 
-// field returns a further address of the ready line.
-func (p *process) field(name string) string {
-	for _, field := range p.ready[2:] {
-		if value, ok := strings.CutPrefix(field, name+"="); ok {
-			return value
-		}
-	}
-	return ""
-}
-
 func (p *process) signal(t *testing.T, signal syscall.Signal) {
 	t.Helper()
 	if err := p.command.Process.Signal(signal); err != nil {
@@ -104,13 +115,6 @@
 	}
 }
 
-// stop asks for a graceful stop and returns the exit error.
-func (p *process) stop(t *testing.T) error {
-	t.Helper()
-	p.signal(t, syscall.SIGTERM)
-	return p.command.Wait()
-}
-
 // deployment is a set of processes: the platform, backend servers and VMs.
 type deployment struct {
 	platform *process
