--- a/internal/ownership/decider.go
+++ b/internal/ownership/decider.go
@@ -198,6 +198,7 @@
 	handoffAt    time.Duration
 	roles        map[Role]Member
 	rolesAt      time.Duration
+	balancedAt   time.Duration
 
 	services map[string]*serviceRun
 
@@ -221,7 +222,10 @@
 	active map[keyspace.Unit]*unitRun
 	load   map[keyspace.Unit]float64
 	hot    []keyspace.Unit
-	gates  map[string]*gateStop
+	// reported is set by the first load report of the term; without one no hot key
+	// is merged back.
+	reported bool
+	gates    map[string]*gateStop
 	// frozen counts the reasons for which a unit must have no owner for now.
 	frozen map[keyspace.Unit]int
 	// splits and merges hold hot keys whose record is written.
--- a/internal/ownership/fault_test.go
+++ b/internal/ownership/fault_test.go
@@ -34,6 +34,7 @@
 // clock as well.
 func (w *world) freezeVM(vm *fakeVM, duration time.Duration, suspend bool) {
 	vm.frozen, vm.suspended = true, suspend
+	vm.deaf = suspend && w.random.IntN(2) == 0
 	w.after2(duration, func() { w.resume(vm) })
 }
 
@@ -177,6 +178,10 @@
 		w.setConfig(func(c *Config) { c.DrainedDomains = map[string]bool{"d": false} })
 		w.after2(8*second, func() { w.setConfig(func(c *Config) { c.DrainedDomains = nil }) })
 	}},
+	{name: "failure domain drained, an owner cut", domains: []string{"d", "e"}, duration: 20 * second, ends: true, inject: func(w *world) {
+		w.setConfig(func(c *Config) { c.DrainedDomains = map[string]bool{"d": false} })
+		w.cutServer(w.servers[0], 5*second)
+	}},
 	{name: "failure domain drained, its decider lost", domains: []string{"d", "e"}, duration: 20 * second, ends: true, inject: func(w *world) {
 		w.setConfig(func(c *Config) { c.DrainedDomains = map[string]bool{"d": false} })
 		w.after2(time.Duration(w.random.Int64N(int64(second))), func() { w.decider2().up = false })
--- a/internal/ownership/gates.go
+++ b/internal/ownership/gates.go
@@ -13,6 +13,9 @@
 type gateStop struct {
 	seq    uint64
 	sentAt time.Duration
+	// asked maps a unit to the first request of the current stop that names it. An
+	// acknowledgement of an earlier stop of the unit does not count.
+	asked map[keyspace.Unit]uint64
 	// holder is the last VM that may have been the gate and changedAt the time
 	// since which it, or nobody, is. Requests of earlier gates end within the
 	// longest request deadline after that.
@@ -39,15 +42,17 @@
 		server := run.servers[name]
 		stop := run.gates[name]
 		if stop == nil {
-			stop = &gateStop{changedAt: d.now.Mono}
+			stop = &gateStop{changedAt: d.now.Mono, asked: make(map[keyspace.Unit]uint64)}
 			run.gates[name] = stop
 		}
 		holder, any := d.gateHolder(run, name)
 		if holder != stop.holder {
 			stop.holder = holder
+			clear(stop.asked)
 			stop.changedAt = d.now.Mono
 		}
 		units := d.unitsToStop(run, name)
+		stop.forget(units)
 		if len(units) == 0 {
 			continue
 		}
@@ -62,6 +67,14 @@
 	}
 }
 
+// forget drops the units that need not be stopped any more.
+func (s *gateStop) forget(units []keyspace.Unit) {
+	maps.DeleteFunc(s.asked, func(unit keyspace.Unit, _ uint64) bool {
+		_, found := slices.BinarySearch(units, unit)
+		return !found
+	})
+}
+
 func heldBy(units []keyspace.Unit) map[keyspace.Unit]Token {
 	held := make(map[keyspace.Unit]Token, len(units))
 	for _, unit := range units {
@@ -104,6 +117,11 @@
 	}
 	stop.seq++
 	stop.sentAt = d.now.Mono
+	for _, unit := range units {
+		if _, asked := stop.asked[unit]; !asked {
+			stop.asked[unit] = stop.seq
+		}
+	}
 	d.emit(StopUnits{
 		Server: ServerID{Service: run.config.Name, Name: name},
 		VM:     stop.holder,
@@ -119,13 +137,12 @@
 		return
 	}
 	stop := run.gates[e.Server.Name]
-	if stop == nil || e.VM != stop.holder || e.Seq != stop.seq || !d.gatesEnded(run, stop) {
+	if stop == nil || e.VM != stop.holder || !d.gatesEnded(run, stop) {
 		return
 	}
-	asked := d.unitsToStop(run, e.Server.Name)
 	stopped := make(map[keyspace.Unit]Token)
 	for _, unit := range e.Units {
-		if _, found := slices.BinarySearch(asked, unit); found {
+		if first, asked := stop.asked[unit]; asked && e.Seq >= first {
 			delete(server.held, unit)
 			stopped[unit] = Token{}
 		}
--- a/internal/ownership/hole_test.go
+++ b/internal/ownership/hole_test.go
@@ -196,15 +196,25 @@
 		stale.table.UpdateDomain(published)
 		stale.table.UpdateHomes(w.vms[0].decider.Homes())
 		w.vms = append(w.vms, stale)
-		report(hot)
-		w.run(w.now + time.Duration(seed)*10*time.Millisecond)
 		if seed%2 == 1 {
-			w.decider2().up = false
+			// The decider is lost after the record of the split, before the slice
+			// is stopped.
+			first := w.decider()
+			w.delayGrant = func(vm *fakeVM, a SendGrant) time.Duration {
+				if len(a.Revoke) == 0 || vm != first {
+					return 0
+				}
+				w.at(w.now, func() { vm.up = false })
+				return time.Minute
+			}
 		}
+		report(hot)
 		w.run(w.now + 2*second)
 		report(hot)
 		w.run(w.now + 2*second)
 		split := len(w.decider().decider.State().Service("s").Hot)
+		published, _ = w.decider().table.Domain("d")
+		stale.table.UpdateDomain(published)
 		report(nil)
 		w.run(w.now + 2*second)
 		merged := len(w.decider().decider.State().Service("s").Hot)
@@ -215,3 +225,64 @@
 		is.Equal(w.owned(), worldSlices)
 	}
 }
+
+// gateBesides returns a backend server whose gate is not the decider, and the gate.
+func (w *world) gateBesides(decider *fakeVM) (*fakeServer, *fakeVM) {
+	for _, s := range w.servers {
+		role := Role{Kind: RoleGate, Service: "s", Name: s.id.Name}
+		name, _ := decider.table.RoleVM("d", role)
+		if name != "" && name != decider.name {
+			return s, w.vm(name)
+		}
+	}
+	return nil, nil
+}
+
+// isolate cuts a VM from the others and the log but not from backend servers.
+func (w *world) isolate(vm *fakeVM) { vm.logCut, vm.peerCut = true, true }
+
+func (w *world) drain(s *fakeServer) {
+	w.setConfig(func(c *Config) { c.DrainedServers = map[ServerID]bool{s.id: true} })
+}
+
+// Guards against a move away from a backend server that does not check grants while
+// requests which its unreachable gate sent last may still run.
+func TestUnreachableGateEndsItsRequests(t *testing.T) {
+	w := settledWorld(t, 8, false)
+	w.runFor = 400 * time.Millisecond
+	s, gate := w.gateBesides(w.decider())
+	w.isolate(gate)
+	w.drain(s)
+	w.run(w.now + 6*second)
+	checkWorld(t, w)
+	is.New(t).Equal(len(w.decider().decider.lead.services["s"].servers[s.id.Name].held), 0)
+}
+
+// Guards against a gate that uses its role after a suspend that stopped its
+// monotonic clock.
+func TestSuspendedGateLosesItsRole(t *testing.T) {
+	for seed := range uint64(4) {
+		w := settledWorld(t, seed, false)
+		s, gate := w.gateBesides(w.decider())
+		w.freezeVM(gate, 2*second, true)
+		w.drain(s)
+		w.run(w.now + 6*second)
+		checkWorld(t, w)
+	}
+}
+
+// Guards against a successor that takes an unreachable gate for stopped although
+// its role lease is one of an outage.
+func TestOutageLeaseOfUnreachableGate(t *testing.T) {
+	w := settledWorld(t, 9, false)
+	first := w.decider()
+	s, gate := w.gateBesides(first)
+	w.logDown(3 * second)
+	w.run(w.now + 2*second)
+	first.up = false
+	w.isolate(gate)
+	w.drain(s)
+	w.run(w.now + 45*second)
+	checkWorld(t, w)
+	is.New(t).Equal(len(w.decider().decider.lead.services["s"].servers[s.id.Name].held), 0)
+}
--- a/internal/ownership/hot.go
+++ b/internal/ownership/hot.go
@@ -16,6 +16,7 @@
 	}
 	run.load = e.Load
 	run.hot = e.Hot
+	run.reported = true
 }
 
 // freeze and thaw add and remove one reason to keep a unit without an owner.
@@ -110,7 +111,8 @@
 	var free []keyspace.Unit
 	for unit := range d.state.Service(run.config.Name).Hot {
 		leaving := run.leaves[unit.Parent(run.config.Slices)] != nil
-		if run.splits[unit] || !leaving && slices.Contains(run.hot, unit) {
+		wanted := !run.reported || slices.Contains(run.hot, unit)
+		if run.splits[unit] || !leaving && wanted && !run.merges[unit] {
 			continue
 		}
 		if !run.merges[unit] && len(run.merges) < maxHotChanges {
--- a/internal/ownership/roles.go
+++ b/internal/ownership/roles.go
@@ -16,11 +16,14 @@
 // rolesInterval is the time between two looks at the roles.
 const rolesInterval = 50 * time.Millisecond
 
+// roleBalanceInterval is the time between moves of roles that only balance.
+const roleBalanceInterval = 200 * time.Millisecond
+
 // IdempotencyPartitions is the number of its slices.
 const IdempotencyPartitions = 64
 
-// pumpRoles chooses the VM of each role. A role changes hands only when its VM is
-// lost or leaving.
+// pumpRoles chooses the VM of each role. A role changes hands when its VM is lost
+// or leaving, or to balance the numbers of roles.
 func (d *Decider) pumpRoles() {
 	lead := d.lead
 	if lead.rolesAt != 0 && d.now.Mono-lead.rolesAt < rolesInterval {
@@ -46,6 +49,7 @@
 			d.giveRole(role, counts)
 		}
 	}
+	d.balanceRoles()
 	d.initPartitions()
 }
 
@@ -112,6 +116,54 @@
 	d.lead.changed = true
 }
 
+// balanceRoles moves one role of each kind from the VM with most to the one with
+// fewest. A holder of idempotency keys changes only places with its backup, because
+// no other VM has the entries, and a backup is not moved on its own.
+func (d *Decider) balanceRoles() {
+	if d.now.Mono-d.lead.balancedAt < roleBalanceInterval {
+		return
+	}
+	d.lead.balancedAt = d.now.Mono
+	for _, kind := range []RoleKind{RoleGate, RoleKeeper, RoleIdempotencyHolder} {
+		d.balanceKind(kind)
+	}
+}
+
+func (d *Decider) balanceKind(kind RoleKind) {
+	counts := make(map[Member]int)
+	for role, member := range d.lead.roles {
+		if role.Kind == kind {
+			counts[member]++
+		}
+	}
+	live := slices.DeleteFunc(d.sortedMembers(), func(m Member) bool { return !d.liveMember(m) })
+	if len(live) < 2 {
+		return
+	}
+	byCount := func(a, b Member) int { return cmp.Compare(counts[a], counts[b]) }
+	most, fewest := slices.MaxFunc(live, byCount), slices.MinFunc(live, byCount)
+	if counts[most]-counts[fewest] < 2 {
+		return
+	}
+	for _, role := range slices.SortedFunc(maps.Keys(d.lead.roles), compareRoles) {
+		if role.Kind == kind && d.lead.roles[role] == most && d.moveRole(role, most, fewest) {
+			return
+		}
+	}
+}
+
+func (d *Decider) moveRole(role Role, from, to Member) bool {
+	if other := partner(role); other != (Role{}) {
+		if d.lead.roles[other] != to {
+			return false
+		}
+		d.lead.roles[other] = from
+	}
+	d.lead.roles[role] = to
+	d.lead.changed = true
+	return true
+}
+
 // partner returns the role that must be at another VM; no role if there is none.
 func partner(role Role) Role {
 	switch role.Kind {
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -45,7 +45,10 @@
 	stopped   bool
 	restarts  int
 	gateBlock map[ServerID]map[keyspace.Unit]uint64
-	lease     RoleLease
+	gateRun   map[ServerID]time.Duration
+	// deaf says that what arrives while the VM is frozen is lost.
+	deaf  bool
+	lease RoleLease
 }
 
 type holding struct {
@@ -174,6 +177,7 @@
 	vm.table = NewTable()
 	vm.up, vm.frozen, vm.inbox, vm.stopped = true, false, nil, false
 	vm.gateBlock = make(map[ServerID]map[keyspace.Unit]uint64)
+	vm.gateRun = make(map[ServerID]time.Duration)
 	vm.lease = RoleLease{}
 	w.deliver(vm, ConfigChanged{Config: w.config})
 }
@@ -207,7 +211,7 @@
 }
 
 func (w *world) deliver(vm *fakeVM, event Event) {
-	if !vm.up || vm.suspended && w.random.IntN(2) == 0 {
+	if !vm.up || vm.frozen && vm.deaf {
 		return
 	}
 	if vm.frozen {
@@ -505,7 +509,7 @@
 }
 
 func (w *world) resume(vm *fakeVM) {
-	vm.frozen, vm.suspended = false, false
+	vm.frozen, vm.suspended, vm.deaf = false, false, false
 	inbox := vm.inbox
 	vm.inbox = nil
 	for _, event := range inbox {
@@ -529,7 +533,7 @@
 		for _, unit := range a.Units {
 			blocked[unit] = published.Version
 		}
-		w.at(w.now+w.runFor+time.Millisecond, func() {
+		w.at(max(w.now, gate.gateRun[a.Server]+w.runFor), func() {
 			w.after(func() {
 				if !vm.cut && !gate.cut {
 					w.deliver(vm, UnitsStopped{Server: a.Server, VM: a.VM, Term: a.Term, Seq: a.Seq, Units: a.Units})
@@ -662,6 +666,7 @@
 	if owner.Server != s.id.Name {
 		return false
 	}
+	gate.gateRun[s.id] = w.now
 	w.events = append(w.events, ownerEvent{at: w.now, kind: "gate-run", unit: slice, server: s.id.Name, until: w.now + w.runFor})
 	return true
 }
