End requests that wait for a lost backend server

Cause: a request that was waiting at a frozen backend server kept its caller until the deadline of 5 s although the key had a new owner after 0.9 s. Ruled out: ending every request of a moved unit, which would cut requests that a reachable backend server is finishing. Change: after a new domain map, a gate pings backend servers that lost units with requests in flight and ends those of servers that do not answer; idempotent requests go to the new owner. Lists of VMs are read again when an address is missing; role leases name the map that gates must have.

--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -17,13 +17,27 @@
 	ticket   admission.Ticket
 	keyed    bool
 	unit     uint64
+	keyHash  uint64
 	ctx      context.Context
+	cancel   context.CancelFunc
 	now      Clock
 	start    time.Time
 	instance string
 	done     sync.Once
 }
 
+func newRun(ctx context.Context, entry *entry, ticket admission.Ticket, attempt peer.Attempt, owner Owner, now Clock) *run {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &run{
+		entry: entry, ticket: ticket, now: now, ctx: ctx, cancel: cancel,
+		keyed: attempt.Keyed, unit: owner.Unit, keyHash: attempt.KeyHash,
+	}
+	if r.keyed {
+		entry.runs.add(r)
+	}
+	return r
+}
+
 func (r *run) send(attempt peer.Attempt, owner Owner) (*backend.Response, error) {
 	r.start = r.now()
 	resp, err := r.entry.client.Send(r.ctx, backend.Request{
@@ -59,8 +73,10 @@
 	r.done.Do(func() {
 		r.ticket.Done(observation)
 		if r.keyed {
+			r.entry.runs.remove(r)
 			r.entry.units.end(r.unit)
 		}
+		r.cancel()
 	})
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -53,6 +53,7 @@
 	gate    *admission.Gate
 	client  *backend.Client
 	units   *unitGuard
+	runs    *runSet
 }
 
 // NewSet returns a set without gates.
@@ -118,6 +119,7 @@
 		gate:    gate,
 		client:  backend.NewClient(server.Address, spec.Connections),
 		units:   newUnitGuard(),
+		runs:    newRunSet(),
 	}, nil
 }
 
@@ -190,7 +192,7 @@
 		ticket.Done(admission.Observation{Result: admission.Abandoned})
 		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "moved"}
 	}
-	run := &run{entry: existing, ticket: ticket, keyed: attempt.Keyed, unit: owner.Unit, ctx: ctx, now: s.now}
+	run := newRun(ctx, existing, ticket, attempt, owner, s.now)
 	if refusal := ticket.MaySend(); refusal.Refused() {
 		run.finish(admission.Observation{Result: admission.Abandoned})
 		return nil, refused(refusal)
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -15,6 +15,9 @@
 // listInterval is the time between two reads of the platform's VM list.
 const listInterval = time.Second
 
+// refreshPause bounds how often a refresh reads the list.
+const refreshPause = 100 * time.Millisecond
+
 // vmLister reads the platform's list.
 type vmLister interface {
 	VMs(ctx context.Context) ([]platform.VM, error)
@@ -25,10 +28,12 @@
 type fleet struct {
 	mu  sync.RWMutex
 	vms map[string]platform.VM
+	// wanted holds a request to read the list at once.
+	wanted chan struct{}
 }
 
 func newFleet() *fleet {
-	return &fleet{vms: make(map[string]platform.VM)}
+	return &fleet{vms: make(map[string]platform.VM), wanted: make(chan struct{}, 1)}
 }
 
 // follow reads the list until the context ends.
@@ -47,6 +52,8 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-f.wanted:
+			sleep(ctx, refreshPause)
 		case <-ctx.Done():
 			return
 		}
@@ -90,6 +97,23 @@
 	return found
 }
 
+// named returns the VM with the name, if it is known.
+func (f *fleet) named(name string) []platform.VM {
+	vm, ok := f.lookup(name)
+	if !ok {
+		return nil
+	}
+	return []platform.VM{vm}
+}
+
+// refresh has the list read before the next interval.
+func (f *fleet) refresh() {
+	select {
+	case f.wanted <- struct{}{}:
+	default:
+	}
+}
+
 // hasSuccessor reports whether another VM of the failure domain is live.
 func (f *fleet) hasSuccessor(domain, name string) bool {
 	return slices.ContainsFunc(f.inDomain(domain), func(vm platform.VM) bool {
--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -57,10 +57,12 @@
 func (v *VM) acceptMap(published ownership.DomainMap) bool {
 	newer := v.table.UpdateDomain(published)
 	if newer && published.Domain == v.options.FailureDomain {
+		go v.assigner.enqueue(v.work, ownership.MapReceived{Term: published.Term, Version: published.Version})
 		v.mapSeen.CompareAndSwap(0, time.Now().UnixNano())
 	}
 	if newer {
 		v.router.notify()
+		go v.gates.CancelLost(v.work)
 	}
 	return newer
 }
--- a/internal/vm/perform.go
+++ b/internal/vm/perform.go
@@ -31,6 +31,10 @@
 		a.sendHeartbeat(ctx, action.Heartbeat)
 	case ownership.Publish:
 		a.publish(ctx, action.Map)
+	case ownership.SendMap:
+		a.vm.sendMap(ctx, domainMapCall{Map: action.Map}, a.vm.fleet.named(action.To.VM))
+	case ownership.ProbePeer:
+		a.probe(ctx, action.Member)
 	case ownership.StopUnits:
 		a.stopUnits(ctx, action)
 	}
@@ -141,6 +145,7 @@
 func (a *assigner) sendHeartbeat(ctx context.Context, heartbeat ownership.Heartbeat) {
 	address, ok := a.vm.fleet.address(heartbeat.To.VM)
 	if !ok {
+		a.vm.fleet.refresh() // a VM that has just joined may be on the list by now
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -156,6 +161,20 @@
 	}
 }
 
+// probe finds out whether the member's process has ended.
+func (a *assigner) probe(ctx context.Context, member ownership.Member) {
+	address, ok := a.vm.fleet.address(member.VM)
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answered, err := a.vm.calls.Call(callCtx, address, messageExchange, exchangeCall{}, &exchangeReply{})
+	if a.ended(member, answered, err) {
+		a.enqueue(ctx, ownership.PeerEnded{Member: member})
+	}
+}
+
 // ended reports whether a call proved that the member's process has ended.
 func (a *assigner) ended(member ownership.Member, answered peer.Identity, err error) bool {
 	var unreachable *peer.UnreachableError
--- a/internal/vm/router.go
+++ b/internal/vm/router.go
@@ -73,11 +73,18 @@
 }
 
 // owners lets gates look owners up.
-type owners struct{ table *ownership.Table }
+type owners struct{ vm *VM }
 
-// OwnerOf implements gate.Owners.
+// OwnerOf implements gate.Owners. It answers nothing while the domain map is older
+// than the one that the role lease belongs to, because an older map may name a
+// former owner.
 func (o owners) OwnerOf(service string, keyHash uint64) (gate.Owner, bool) {
-	found := o.table.LookupHash(service, keyspace.Hash(keyHash))
+	lease := o.vm.roles.current()
+	known, _ := o.vm.table.Domain(o.vm.options.FailureDomain)
+	if newer(mapVersion{Term: lease.Term, Version: lease.MapVersion}, mapVersion{Term: known.Term, Version: known.Version}) {
+		return gate.Owner{}, false
+	}
+	found := o.vm.table.LookupHash(service, keyspace.Hash(keyHash))
 	owner := gate.Owner{Server: found.Server, Unit: uint64(found.Unit), Fence: fenceOf(found.Token)}
 	return owner, found.Status == ownership.Owned
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -50,6 +50,8 @@
 	stopping   atomic.Bool
 	background sync.WaitGroup
 	stopWork   context.CancelFunc
+	// work is the context of the background goroutines.
+	work context.Context
 }
 
 // Start opens the listeners and begins to follow the platform. The VM is ready
@@ -65,6 +67,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	v.stopWork = stop
+	v.work = ctx
 	v.startBackground(ctx)
 	go v.peers.serve(v.logger)
 	go v.operators.serve(v.logger)
@@ -86,7 +89,7 @@
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
-	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow)
+	v.gates = gate.NewSet(owners{v}, clock.leaseNow)
 	v.keyring = callerkey.NewKeyring(time.Now())
 	v.quotas = newQuotas(v)
 	v.roles = newRoles(v, clock)
