--- a/internal/ownership/hole_test.go
+++ b/internal/ownership/hole_test.go
@@ -45,6 +45,7 @@
 // Guards against a claimant that gave a promise, was released from it by the proof
 // that the decider ended, and does not wait for the leases of the outage.
 func TestOutageLeasesOutliveTheDecider(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 1, true)
 	w.logDown(3 * second)
 	w.run(w.now + 2*second)
@@ -58,6 +59,7 @@
 // Guards against a successor that grants a unit although a backend server which it
 // can't ask may hold it by a provisional grant that is in no record.
 func TestProvisionalGrantAtUnreachableServer(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 2, true)
 	w.logDown(4 * second)
 	w.run(w.now + second)
@@ -74,6 +76,7 @@
 // Guards against a grant of a lost decider that arrives after the successor asked
 // the backend server: the higher term of the query has to refuse it.
 func TestDelayedGrantOfAnEarlierDecider(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 3, true)
 	first := w.decider()
 	delayed := ""
@@ -95,6 +98,7 @@
 // Guards against a copy of a grant that arrives after the unit was revoked and
 // given to another backend server.
 func TestDelayedGrantAfterRevoke(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 4, true)
 	delayed := ""
 	w.delayGrant = func(_ *fakeVM, a SendGrant) time.Duration {
@@ -116,6 +120,7 @@
 // Guards against a decider that goes on without authority: it is cut from the log
 // and the members, but still reaches one backend server that nobody else reaches.
 func TestDeciderWithoutAuthorityStops(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 5, true)
 	first := w.decider()
 	first.logCut, first.peerCut = true, true
@@ -129,6 +134,7 @@
 // Guards against a member that was admitted while leases of an outage run: it gave
 // no promise and would wait too short after its claim.
 func TestNewMemberDoesNotKnowOutageLeases(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 6, true)
 	w.logDown(3 * second)
 	w.run(w.now + 4*second)
@@ -150,6 +156,7 @@
 // Guards against a first decider after a raised member epoch that waits too short
 // for leases of the lost deciders.
 func TestMemberEpochWaitsForOutageLeases(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 7, true)
 	w.logDown(3 * second)
 	w.run(w.now + 2*second)
@@ -171,6 +178,7 @@
 // the slice's owner while the hot key has another one; split and merge, with loss
 // of the decider in between.
 func TestHotKeySplitAndMerge(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := settledWorld(t, seed, true)
 		var hot []keyspace.Unit
@@ -215,6 +223,8 @@
 		split := len(w.decider().decider.State().Service("s").Hot)
 		published, _ = w.decider().table.Domain("d")
 		stale.table.UpdateDomain(published)
+		// An owner that the decider can't stop keeps its hot keys until they lapse.
+		w.cutServer(w.servers[seed%4], second)
 		report(nil)
 		w.run(w.now + 2*second)
 		merged := len(w.decider().decider.State().Service("s").Hot)
@@ -248,6 +258,7 @@
 // Guards against a move away from a backend server that does not check grants while
 // requests which its unreachable gate sent last may still run.
 func TestUnreachableGateEndsItsRequests(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 8, false)
 	w.runFor = 400 * time.Millisecond
 	s, gate := w.gateBesides(w.decider())
@@ -261,6 +272,7 @@
 // Guards against a gate that uses its role after a suspend that stopped its
 // monotonic clock.
 func TestSuspendedGateLosesItsRole(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		w := settledWorld(t, seed, false)
 		s, gate := w.gateBesides(w.decider())
@@ -274,6 +286,7 @@
 // Guards against a successor that takes an unreachable gate for stopped although
 // its role lease is one of an outage.
 func TestOutageLeaseOfUnreachableGate(t *testing.T) {
+	t.Parallel()
 	w := settledWorld(t, 9, false)
 	first := w.decider()
 	s, gate := w.gateBesides(first)
