Record holder and backup of idempotency partitions and promote the backup

Cause: a lost holder was replaced by any VM, and a VM that became the holder could not tell whether its copy was complete. Ruled out: deriving the order of holders from role leases; a lapse of the leases during a takeover would make every partition forget for 10 min. Change: pairs are records of the domain stream; their offset is the epoch, and each names the epoch before. A domain that is confirmed down gives its partitions to others, which then know nothing of earlier requests.

--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -73,6 +73,7 @@
 	d.member.lastHeartbeat = d.now.Mono
 	if d.state.Decider == d.options.Self {
 		d.lead = d.newLeadership()
+		d.adoptPartitions()
 	}
 }
 
--- a/internal/ownership/leave.go
+++ b/internal/ownership/leave.go
@@ -45,7 +45,10 @@
 		}
 		d.startLeaves(run)
 		d.pumpLeaves(run)
-		d.moveHomes(run)
+		d.moveHomes(run.config)
+	}
+	if len(d.homes.Services[IdempotencyService]) > 0 {
+		d.moveHomes(d.partitionsConfig())
 	}
 }
 
@@ -206,15 +209,15 @@
 // moveHomes writes the home records that are due: for slices whose release was
 // read back, in this term or an earlier one, and for slices of domains that an
 // operator confirmed to be down.
-func (d *Decider) moveHomes(run *serviceRun) {
-	isHome := func(r Record) bool { return r.Home != nil && r.Home.Service == run.config.Name }
+func (d *Decider) moveHomes(config ServiceConfig) {
+	isHome := func(r Record) bool { return r.Home != nil && r.Home.Service == config.Name }
 	if d.appending(isHome) {
 		return
 	}
 	batches := make(map[Released][]keyspace.Unit)
-	released := d.state.Service(run.config.Name).Released
-	targets := slices.Sorted(maps.Keys(d.liveDomains(run.config)))
-	for slice, home := range d.homes.Services[run.config.Name] {
+	released := d.state.Service(config.Name).Released
+	targets := slices.Sorted(maps.Keys(d.liveDomains(config)))
+	for slice, home := range d.homes.Services[config.Name] {
 		unit := keyspace.Unit(slice)
 		if home.Domain == d.options.Domain && released[unit].Epoch >= home.Epoch {
 			key := Released{Epoch: home.Epoch, To: released[unit].To}
@@ -229,7 +232,7 @@
 	for _, to := range sortedDestinations(batches) {
 		for chunk := range slices.Chunk(batches[to], MaxRecordUnits) {
 			d.append(HomesStream, Record{Home: &Home{
-				Service: run.config.Name, To: to.To, Epoch: to.Epoch, Slices: chunk,
+				Service: config.Name, To: to.To, Epoch: to.Epoch, Slices: chunk,
 			}})
 		}
 	}
@@ -244,5 +247,7 @@
 		d.hotAccepted(record.Hot)
 	case record.Release != nil:
 		d.releaseAccepted(record.Release)
+	case record.Pairs != nil:
+		d.lead.changed = true
 	}
 }
--- a/internal/ownership/members.go
+++ b/internal/ownership/members.go
@@ -110,7 +110,7 @@
 	held := make(map[Role]Token, len(reply.Roles))
 	for _, role := range reply.Roles {
 		held[role] = Token{Term: d.lead.term}
-		if _, taken := d.lead.roles[role]; !taken {
+		if _, taken := d.lead.roles[role]; !taken && !isPartitionRole(role) {
 			d.lead.roles[role] = reply.From
 		}
 	}
--- a/internal/ownership/publish.go
+++ b/internal/ownership/publish.go
@@ -71,6 +71,7 @@
 	for _, role := range slices.SortedFunc(maps.Keys(d.lead.roles), compareRoles) {
 		published.Roles = append(published.Roles, RoleAssignment{Role: role, VM: d.lead.roles[role].VM})
 	}
+	published.Partitions = d.partitionAssignments()
 	return published
 }
 
--- a/internal/ownership/record.go
+++ b/internal/ownership/record.go
@@ -40,6 +40,7 @@
 	Hot         *Hot         `cbor:"10,keyasint,omitempty"`
 	Init        *Init        `cbor:"11,keyasint,omitempty"`
 	Home        *Home        `cbor:"12,keyasint,omitempty"`
+	Pairs       *Pairs       `cbor:"13,keyasint,omitempty"`
 }
 
 // Member is one process of a VM. A restarted VM has another instance, because it
--- a/internal/ownership/record_test.go
+++ b/internal/ownership/record_test.go
@@ -33,6 +33,7 @@
 		{Handoff: &Handoff{Term: TermAt(1), To: Member{VM: "vm-2", Instance: "b"}}},
 		{Init: &Init{Service: "entretien", Slices: 256, Domains: []string{"plateau", "medina"}}},
 		{Home: &Home{Service: "entretien", To: "pikine", Epoch: 1, Slices: units}},
+		{Pairs: &Pairs{Term: TermAt(1), Pairs: []Pair{{Partition: 63, Holder: member, Backup: Member{VM: "vm-2", Instance: "b"}, HomeEpoch: 1}}}},
 	}
 	for i := range records {
 		records[i].ID[0] = byte(i + 1)
--- a/internal/ownership/record_validate.go
+++ b/internal/ownership/record_validate.go
@@ -29,6 +29,7 @@
 	found = appendBody(found, r.Handoff)
 	found = appendBody(found, r.Hot)
 	found = appendBody(found, r.Init)
+	found = appendBody(found, r.Pairs)
 	return appendBody(found, r.Home)
 }
 
--- a/internal/ownership/roles.go
+++ b/internal/ownership/roles.go
@@ -40,6 +40,7 @@
 	if !d.membersKnown() {
 		return
 	}
+	d.promoteBackups()
 	counts := make(map[Member]int)
 	for _, member := range lead.roles {
 		counts[member]++
@@ -51,6 +52,7 @@
 	}
 	d.balanceRoles()
 	d.initPartitions()
+	d.recordPairs()
 }
 
 func compareRoles(a, b Role) int {
@@ -184,6 +186,9 @@
 		if holder != member || !known && !m.mayHold(role) {
 			continue
 		}
+		if isPartitionRole(role) && !d.pairRecorded(role.Partition) {
+			continue
+		}
 		if d.roleFree(role, member) {
 			roles = append(roles, role)
 		}
--- a/internal/ownership/snapshot.go
+++ b/internal/ownership/snapshot.go
@@ -49,6 +49,7 @@
 	state.Members = orEmpty(state.Members, restored.Members)
 	state.Joins = orEmpty(state.Joins, restored.Joins)
 	state.Services = orEmpty(state.Services, restored.Services)
+	state.Partitions = orEmpty(state.Partitions, restored.Partitions)
 	state.seen = make(map[RecordID]bool, len(state.Seen))
 	for _, id := range state.Seen {
 		state.seen[id] = true
--- a/internal/ownership/state.go
+++ b/internal/ownership/state.go
@@ -47,17 +47,20 @@
 	// First says that the current term is the first one.
 	First bool       `cbor:"10,keyasint"`
 	Seen  []RecordID `cbor:"9,keyasint"`
-	seen  map[RecordID]bool
+	// Partitions holds the recorded pairs of idempotency partitions.
+	Partitions map[uint32]PartitionState `cbor:"11,keyasint"`
+	seen       map[RecordID]bool
 }
 
 // NewState returns the state before the first record.
 func NewState() *State {
 	return &State{
-		Next:     1,
-		Members:  make(map[string]string),
-		Joins:    make(map[string]string),
-		Services: make(map[string]*ServiceState),
-		seen:     make(map[RecordID]bool),
+		Next:       1,
+		Members:    make(map[string]string),
+		Joins:      make(map[string]string),
+		Services:   make(map[string]*ServiceState),
+		Partitions: make(map[uint32]PartitionState),
+		seen:       make(map[RecordID]bool),
 	}
 }
 
@@ -130,6 +133,8 @@
 		return s.applyHandoff(offset, record.Handoff)
 	case record.Hot != nil:
 		return s.applyHot(record.Hot)
+	case record.Pairs != nil:
+		return s.applyPairs(offset, record.Pairs)
 	}
 	return false
 }
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -17,6 +17,8 @@
 	Version  uint64                `cbor:"3,keyasint"`
 	Services map[string]ServiceMap `cbor:"4,keyasint"`
 	Roles    []RoleAssignment      `cbor:"5,keyasint"`
+	// Partitions holds the recorded pairs that the decider stands by.
+	Partitions []PartitionAssignment `cbor:"6,keyasint,omitempty"`
 }
 
 // ServiceMap holds the owners of the units of one service in one failure domain.
