Run requests with an Idempotency-Key at most once through any VM

Cause: the store of idempotency keys was not on the path. Change: the entry VM asks the holder of the key's partition before it sends a request that is not idempotent and reports the end; pairs change places only after 5 s, because a backup without a copy answers "unknown" for 10 min.

--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -97,6 +97,7 @@
 		endedMembers: make(map[Member]bool),
 		leavingVMs:   make(map[Member]bool),
 		roles:        make(map[Role]Member),
+		pairSince:    make(map[uint32]time.Duration),
 		services:     make(map[string]*serviceRun),
 		changed:      true,
 	}
--- a/internal/ownership/decider.go
+++ b/internal/ownership/decider.go
@@ -197,8 +197,10 @@
 	leavingVMs   map[Member]bool
 	handoffAt    time.Duration
 	roles        map[Role]Member
-	rolesAt      time.Duration
-	balancedAt   time.Duration
+	// pairSince is the local time since which the pair of a partition is recorded.
+	pairSince  map[uint32]time.Duration
+	rolesAt    time.Duration
+	balancedAt time.Duration
 
 	services map[string]*serviceRun
 
--- a/internal/ownership/leave.go
+++ b/internal/ownership/leave.go
@@ -248,6 +248,6 @@
 	case record.Release != nil:
 		d.releaseAccepted(record.Release)
 	case record.Pairs != nil:
-		d.lead.changed = true
+		d.pairsAccepted(record.Pairs)
 	}
 }
--- a/internal/ownership/partitions.go
+++ b/internal/ownership/partitions.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -102,6 +103,7 @@
 // adoptPartitions takes the recorded pairs over at the start of a term.
 func (d *Decider) adoptPartitions() {
 	for partition, recorded := range d.state.Partitions {
+		d.lead.pairSince[partition] = d.now.Mono
 		d.lead.roles[Role{Kind: RoleIdempotencyHolder, Partition: partition}] = recorded.Pair.Holder
 		if recorded.Pair.Backup != (Member{}) {
 			d.lead.roles[Role{Kind: RoleIdempotencyBackup, Partition: partition}] = recorded.Pair.Backup
@@ -109,6 +111,23 @@
 	}
 }
 
+// copyTime is the time after which the backup of a new pair is taken to have a copy
+// of the entries. A holder without a copy would answer "unknown" for 10 min.
+const copyTime = 5 * time.Second
+
+// pairSettled reports whether the pair has stood for long enough to change places.
+func (d *Decider) pairSettled(partition uint32) bool {
+	return d.pairRecorded(partition) && d.now.Mono-d.lead.pairSince[partition] >= copyTime
+}
+
+// pairsAccepted continues after pairs were read back.
+func (d *Decider) pairsAccepted(pairs *Pairs) {
+	d.lead.changed = true
+	for _, pair := range pairs.Pairs {
+		d.lead.pairSince[pair.Partition] = d.now.Mono
+	}
+}
+
 // promoteBackups makes the backup the holder of a partition that lost its holder,
 // since no other VM has the entries.
 func (d *Decider) promoteBackups() {
--- a/internal/ownership/roles.go
+++ b/internal/ownership/roles.go
@@ -156,7 +156,7 @@
 
 func (d *Decider) moveRole(role Role, from, to Member) bool {
 	if other := partner(role); other != (Role{}) {
-		if d.lead.roles[other] != to {
+		if d.lead.roles[other] != to || !d.pairSettled(role.Partition) {
 			return false
 		}
 		d.lead.roles[other] = from
--- a/internal/vm/roles.go
+++ b/internal/vm/roles.go
@@ -80,6 +80,7 @@
 	lease := r.current()
 	expires := r.clock.at(lease.Until)
 	r.vm.quotas.setRoles(lease, expires)
+	r.vm.partitions.setRoles(lease, expires)
 	wanted := make(map[gate.ServerID]bool)
 	view := r.vm.follower.State().View()
 	for _, role := range lease.Roles {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -25,21 +25,22 @@
 
 // VM is one running VM.
 type VM struct {
-	options  Options
-	logger   *zap.Logger
-	platform *platform.Client
-	follower *config.Follower
-	fleet    *fleet
-	table    *ownership.Table
-	gates    *gate.Set
-	router   *router
-	unkeyed  *balancers
-	calls    *peer.Client
-	control  *control
-	roles    *roles
-	keyring  *callerkey.Keyring
-	quotas   *quotas
-	assigner *assigner
+	options    Options
+	logger     *zap.Logger
+	platform   *platform.Client
+	follower   *config.Follower
+	fleet      *fleet
+	table      *ownership.Table
+	gates      *gate.Set
+	router     *router
+	unkeyed    *balancers
+	calls      *peer.Client
+	control    *control
+	roles      *roles
+	keyring    *callerkey.Keyring
+	quotas     *quotas
+	partitions *partitions
+	assigner   *assigner
 
 	callers   *listener
 	peers     *listener
@@ -92,6 +93,7 @@
 	v.gates = gate.NewSet(owners{v}, clock.leaseNow)
 	v.keyring = callerkey.NewKeyring(time.Now())
 	v.quotas = newQuotas(v)
+	v.partitions = newPartitions(v)
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
 	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
@@ -103,7 +105,7 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (v *VM) listen() error {
-	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
+	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, &deduplicator{inner: dispatch.New(v.router, newRandom), partitions: v.partitions}, noObserver{}, v.stopping.Load)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
 	v.registerHandlers(control)
 	peerMux := http.NewServeMux()
@@ -142,6 +144,7 @@
 	v.background.Go(func() { v.exchange(ctx) })
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
+	v.background.Go(func() { v.partitions.run(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
 	}
