--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -29,6 +29,7 @@
 	peer.Handle(server, messageLoad, smallLimit, v.onLoad)
 	peer.Handle(server, messageServerLoads, smallLimit, v.onServerLoads)
 	peer.Handle(server, messageQuota, recordsLimit, v.quotas.onMessage)
+	peer.Handle(server, messageIdempotency, idempotencyLimit, v.partitions.onCall)
 }
 
 func (v *VM) onHeartbeat(ctx context.Context, _ peer.Identity, heartbeat ownership.Heartbeat) (ownership.HeartbeatReply, error) {
@@ -59,10 +60,12 @@
 func (v *VM) acceptMap(published ownership.DomainMap) bool {
 	newer := v.table.UpdateDomain(published)
 	if newer && published.Domain == v.options.FailureDomain {
+		go v.assigner.enqueue(v.work, ownership.MapReceived{Term: published.Term, Version: published.Version})
 		v.mapSeen.CompareAndSwap(0, time.Now().UnixNano())
 	}
 	if newer {
 		v.router.notify()
+		go v.gates.CancelLost(v.work)
 	}
 	return newer
 }
