Keep control connections open when a call's context has ended

Cause: quotas.send handled the messages that followed an answer under the context of the finished call. They were sent with a cancelled context, lost, and each one closed the WebSocket connection between the two VMs under all other calls, heartbeats and stops among them. Seen in the memory profile of BenchmarkPath as 1136 WebSocket dials in about 9 s (694 writes with a cancelled context).

Ruled out by counting dials: backend client (37), forwarder (3), platform (20).

Change: later messages get the surrounding context, and a call that is over before its write begins leaves the connection open.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -222,7 +222,13 @@
 
 // write sends a message. A failed or interrupted write leaves the stream in an
 // unknown state, so the connection is closed.
+//
+// A call that is over before its write begins must not end the connection, which
+// other calls use.
 func (c *clientConn) write(ctx context.Context, data []byte) error {
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(err, "send")
+	}
 	if err := c.socket.Load().Write(ctx, websocket.MessageBinary, data); err != nil {
 		c.close()
 		return errors.Wrap(err, "send")
--- a/internal/vm/quota.go
+++ b/internal/vm/quota.go
@@ -302,12 +302,13 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var answer quotaMessage
-	if _, err := q.vm.calls.Call(ctx, address, messageQuota, quotaMessage{Envelopes: batch}, &answer); err != nil {
+	if _, err := q.vm.calls.Call(callCtx, address, messageQuota, quotaMessage{Envelopes: batch}, &answer); err != nil {
 		return
 	}
+	// The messages that follow are sent after this call's context has ended.
 	q.deliver(ctx, q.handle(answer.Envelopes))
 }
 
