Read answers of control calls to their end

Cause: a body closed before its end frees its connection only a little later, so the next call to the same backend server may open another one (about 1 ms of the backend server's time).

Figures: TestControlCallsKeepTheirConnection without the change failed in 101 of 300 runs, with it in 0 of 300 and in 0 of 50 with -race.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -250,7 +250,7 @@
 	if err != nil {
 		return 0, errors.Wrapf(err, "%s %s", method, path)
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer finishBody(resp.Body)
 	if resp.StatusCode/100 != 2 && resp.StatusCode != http.StatusConflict {
 		return resp.StatusCode, errors.Errorf("%s %s: status %d", method, path, resp.StatusCode)
 	}
@@ -271,3 +271,12 @@
 	encoded, err := json.Marshal(body)
 	return bytes.NewReader(encoded), err
 }
+
+// finishBody reads what follows the JSON value. At the end of the body the
+// connection is free at once; after a Close before it, only a little later, so that
+// the next call may open another one.
+func finishBody(body io.ReadCloser) {
+	const maxRest = 4 << 10
+	_, _ = io.CopyN(io.Discard, body, maxRest) // a longer rest costs the connection
+	_ = body.Close()
+}
