--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/subtle"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/coder/websocket"
@@ -34,11 +36,13 @@
 
 	mu       sync.RWMutex
 	handlers map[MessageType]callHandler
+	conns    map[*websocket.Conn]struct{}
+	closed   bool
 }
 
 // NewServer returns a server without handlers. An empty token accepts every VM.
 func NewServer(identity Identity, token string, logger *zap.Logger) *Server {
-	return &Server{identity: identity, token: token, logger: logger, handlers: make(map[MessageType]callHandler)}
+	return &Server{identity: identity, token: token, logger: logger, handlers: make(map[MessageType]callHandler), conns: make(map[*websocket.Conn]struct{})}
 }
 
 // Handle registers the handler of one message type with a size limit in bytes.
@@ -70,6 +74,10 @@
 		return // Accept has answered
 	}
 	defer func() { _ = conn.CloseNow() }()
+	if !s.track(conn) {
+		return
+	}
+	defer s.forget(conn)
 	conn.SetReadLimit(maxMessageBytes)
 	from, ok := s.handshake(r.Context(), conn)
 	if !ok {
@@ -78,6 +86,35 @@
 	s.serveConn(r.Context(), conn, from)
 }
 
+// track notes an open connection, or returns false after Close.
+func (s *Server) track(conn *websocket.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) forget(conn *websocket.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close ends every connection. http.Server.Shutdown leaves upgraded connections
+// open, so that a stopped VM would still answer.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.CloseNow()
+	}
+}
+
 // handshake exchanges identities; the calling side sends first.
 func (s *Server) handshake(ctx context.Context, conn *websocket.Conn) (Identity, bool) {
 	var from Identity
--- a/internal/quota/policy.go
+++ b/internal/quota/policy.go
@@ -21,7 +21,7 @@
 // ends the wait at once. MaxDefer leaves room for one exchange with a keeper of
 // another failure domain.
 var DefaultPolicy = Policy{
-	MaxWait:    10 * time.Millisecond,
+	MaxWait:    time.Second,
 	Prefetch:   true,
 	ReturnIdle: true,
 	MaxDefer:   6 * time.Millisecond,
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -13,28 +13,69 @@
 type heldGrant struct {
 	fence     protocol.Fence
 	expiresMs int64
+	// running counts the requests that began under the grant.
+	running int
+	// revoked is set when no further request may begin; the grant is given up when
+	// the running ones have ended.
+	revoked bool
 }
 
 // grantTable holds the grants of one instance.
 type grantTable struct {
 	term uint64
-	held map[uint64]heldGrant
+	held map[uint64]*heldGrant
 }
 
-func newGrantTable() grantTable { return grantTable{held: make(map[uint64]heldGrant)} }
+func newGrantTable() grantTable { return grantTable{held: make(map[uint64]*heldGrant)} }
 
-// allows reports whether the request carries the token of a grant in force.
-func (t *grantTable) allows(r *http.Request, nowMs int64) bool {
+// find returns the grant in force whose token the request carries.
+func (t *grantTable) find(r *http.Request, nowMs int64) (*heldGrant, bool) {
 	unit, err := strconv.ParseUint(r.Header.Get(protocol.HeaderSlice), 10, 64)
 	if err != nil {
-		return false
+		return nil, false
 	}
 	fence, err := protocol.ParseFence(r.Header.Get(protocol.HeaderFence))
 	if err != nil {
-		return false
+		return nil, false
 	}
 	grant, ok := t.held[unit]
-	return ok && grant.fence == fence && nowMs < grant.expiresMs
+	return grant, ok && grant.fence == fence && nowMs < grant.expiresMs
+}
+
+// allows reports whether a request may begin.
+func (t *grantTable) allows(r *http.Request, nowMs int64) bool {
+	grant, ok := t.find(r, nowMs)
+	return ok && !grant.revoked
+}
+
+// begin counts a request under its grant.
+func (t *grantTable) begin(r *http.Request, nowMs int64) {
+	if grant, ok := t.find(r, nowMs); ok {
+		grant.running++
+	}
+}
+
+// commit reports whether the grant of a request that has run is still in force. A
+// request that ran across the end of its lease must not take effect, because the
+// unit may have another owner by now.
+func (t *grantTable) commit(r *http.Request, nowMs int64) bool {
+	grant, ok := t.find(r, nowMs)
+	if !ok {
+		return false
+	}
+	grant.running--
+	if grant.revoked && grant.running == 0 {
+		t.drop(grant)
+	}
+	return true
+}
+
+func (t *grantTable) drop(grant *heldGrant) {
+	for unit, held := range t.held {
+		if held == grant {
+			delete(t.held, unit)
+		}
+	}
 }
 
 func (t *grantTable) apply(req protocol.GrantRequest, nowMs int64) {
@@ -48,19 +89,29 @@
 		t.renew(req)
 	}
 	for _, unit := range req.Revoke {
-		delete(t.held, unit)
+		t.revoke(unit)
 	}
 	for _, grant := range req.Grant {
-		t.held[grant.Unit] = heldGrant{protocol.Fence{Term: req.Term, Counter: grant.Counter}, req.ExpiresAtMs}
+		t.held[grant.Unit] = &heldGrant{fence: protocol.Fence{Term: req.Term, Counter: grant.Counter}, expiresMs: req.ExpiresAtMs}
+	}
+}
+
+func (t *grantTable) revoke(unit uint64) {
+	grant, ok := t.held[unit]
+	if !ok {
+		return
+	}
+	grant.revoked = true
+	if grant.running == 0 {
+		delete(t.held, unit)
 	}
 }
 
 // renew extends every grant in force; each keeps its token, so that requests
 // routed by the previous decider's map are still accepted.
 func (t *grantTable) renew(req protocol.GrantRequest) {
-	for unit, grant := range t.held {
+	for _, grant := range t.held {
 		grant.expiresMs = max(grant.expiresMs, req.ExpiresAtMs)
-		t.held[unit] = grant
 	}
 }
 
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -191,7 +191,7 @@
 	if deadlinePassed(r) {
 		return protocol.ReasonDeadline, http.StatusServiceUnavailable
 	}
-	if s.options.Keyed && s.options.ChecksGrants && !s.grants.allows(r, s.nowMs()) {
+	if s.fenced() && !s.grants.allows(r, s.nowMs()) {
 		return protocol.ReasonFence, http.StatusConflict
 	}
 	if len(s.inFlight) >= s.bearsLocked() {
@@ -200,6 +200,9 @@
 	return "", 0
 }
 
+// fenced reports whether requests need a grant.
+func (s *Server) fenced() bool { return s.options.Keyed && s.options.ChecksGrants }
+
 func deadlinePassed(r *http.Request) bool {
 	ms, err := strconv.ParseInt(r.Header.Get(protocol.HeaderDeadline), 10, 64)
 	return err == nil && time.Now().UnixMilli() > ms
@@ -226,15 +229,37 @@
 		return
 	}
 	if !s.wait(r, admitted) {
+		s.commit(r, admitted) // gives the grant's count back; nothing takes effect
 		s.finish(admitted)
 		panic(http.ErrAbortHandler)
 	}
+	if !s.commit(r, admitted) {
+		s.finish(admitted)
+		refuse(w, protocol.ReasonFence, http.StatusConflict)
+		return
+	}
 	answer := s.answer(r, admitted, body)
 	s.record(r, admitted, start, answer)
 	s.finish(admitted)
 	writeAnswer(w, admitted, answer)
 }
 
+// commit reports whether the request may take effect.
+func (s *Server) commit(r *http.Request, a admission) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.instance != a.instance {
+		return false
+	}
+	return !s.fenced() || s.grants.commit(r, s.nowMs())
+}
+
+func refuse(w http.ResponseWriter, reason string, status int) {
+	w.Header().Set(protocol.HeaderOutcome, outcome.NotRun.String())
+	w.Header().Set(protocol.HeaderReason, reason)
+	w.WriteHeader(status)
+}
+
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) (admission, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -247,11 +272,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	if reason != "" {
-		w.Header().Set(protocol.HeaderOutcome, outcome.NotRun.String())
-		w.Header().Set(protocol.HeaderReason, reason)
-		w.WriteHeader(status)
+		refuse(w, reason, status)
 		return admission{}, false
 	}
+	s.grants.begin(r, s.nowMs())
 	slow := max(1, s.faults.SlowFactor)
 	admitted := admission{
 		id:        r.Header.Get(protocol.HeaderRequestID),
--- a/internal/vm/quota.go
+++ b/internal/vm/quota.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"fireflyfield/internal/config"
 	"fireflyfield/internal/outcome"
 	"fireflyfield/internal/ownership"
@@ -57,8 +59,19 @@
 	if !q.limited(workspace) {
 		return nil
 	}
+	giveUp := time.Now().Add(quota.DefaultPolicy.MaxWait)
 	decision := q.take(ctx, workspace)
-	if decision.Outcome != quota.Granted && q.waitForToken(ctx, decision.RetryAfter) {
+	for waits := 0; decision.Outcome != quota.Granted && waits < shortWaits && time.Now().Before(giveUp); {
+		wait := decision.RetryAfter
+		if wait >= quota.RetryAfterUnknown {
+			// A keeper that is recovering can't tell when it will have tokens.
+			wait = recoveryInterval
+		} else {
+			waits++
+		}
+		if !q.waitForToken(ctx, wait) {
+			break
+		}
 		decision = q.take(ctx, workspace)
 	}
 	if decision.Outcome == quota.Granted {
@@ -84,7 +97,11 @@
 	// shortWait is the longest advised time for which a request waits here instead
 	// of being refused. A keeper that has just taken over starts with an empty
 	// bucket and would refuse requests inside the rate.
-	shortWait = 50 * time.Millisecond
+	shortWait = 100 * time.Millisecond
+	// shortWaits is the number of times that one request waits.
+	shortWaits = 2
+	// recoveryInterval is the time between looks at a keeper that is recovering.
+	recoveryInterval = 25 * time.Millisecond
 	// maxShortWaits bounds the requests that wait in this way.
 	maxShortWaits = 1024
 )
@@ -305,12 +322,27 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var answer quotaMessage
-	if _, err := q.vm.calls.Call(ctx, address, messageQuota, quotaMessage{Envelopes: batch}, &answer); err != nil {
+	_, err := q.vm.calls.Call(ctx, address, messageQuota, quotaMessage{Envelopes: batch}, &answer)
+	var unreachable *peer.UnreachableError
+	if errors.As(err, &unreachable) && unreachable.Refused {
+		q.holderGone(vm)
+	}
+	if err != nil {
 		return
 	}
 	q.deliver(ctx, q.handle(answer.Envelopes))
 }
 
+// holderGone tells the keepers that the process of the VM has ended, so that they
+// need not wait for the tokens that it held.
+func (q *quotas) holderGone(vm string) {
+	now := time.Now()
+	for _, keeper := range q.all() {
+		keeper.HolderGone(vm, now)
+	}
+	q.signal()
+}
+
 // handle gives envelopes to the holder and the keepers of this VM and returns the
 // envelopes that follow from them.
 func (q *quotas) handle(envelopes []quota.Envelope) []quota.Envelope {
--- a/internal/vm/roles.go
+++ b/internal/vm/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	dirty chan struct{}
 	// closed holds the state of gates that this VM gave up.
 	closed map[gate.ServerID]closedGate
+	// opening holds the gates that are being opened.
+	opening map[gate.ServerID]bool
 }
 
 type closedGate struct {
@@ -35,7 +38,7 @@
 }
 
 func newRoles(v *VM, clock *clock) *roles {
-	return &roles{vm: v, clock: clock, dirty: make(chan struct{}, 1), closed: make(map[gate.ServerID]closedGate)}
+	return &roles{vm: v, clock: clock, dirty: make(chan struct{}, 1), closed: make(map[gate.ServerID]closedGate), opening: make(map[gate.ServerID]bool)}
 }
 
 // set takes a new lease. The clock notes it at once, so that gates which are open
@@ -75,21 +78,23 @@
 	}
 }
 
-// apply brings the gates in line with the lease.
+// apply brings the duties of this VM in line with the lease. Renewals come first,
+// because asking a former gate takes time.
 func (r *roles) apply(ctx context.Context) {
 	lease := r.current()
 	expires := r.clock.at(lease.Until)
 	r.vm.quotas.setRoles(lease, expires)
 	r.vm.partitions.setRoles(lease, expires)
 	wanted := make(map[gate.ServerID]bool)
-	view := r.vm.follower.State().View()
 	for _, role := range lease.Roles {
 		if role.Kind != ownership.RoleGate {
 			continue
 		}
 		id := gate.ServerID{Service: role.Service, Name: role.Name}
 		wanted[id] = true
-		r.open(ctx, view, id, expires)
+		if !r.vm.gates.Renew(id, expires) {
+			r.startOpening(ctx, id)
+		}
 	}
 	known := len(lease.Roles) > 0
 	for _, id := range r.vm.gates.IDs() {
@@ -99,11 +104,24 @@
 	}
 }
 
-func (r *roles) open(ctx context.Context, view *config.View, id gate.ServerID, expires time.Time) {
-	if r.vm.gates.Renew(id, expires) {
+// startOpening opens a gate in the background, once at a time.
+func (r *roles) startOpening(ctx context.Context, id gate.ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.opening[id] {
 		return
 	}
-	service, ok := view.Service(id.Service)
+	r.opening[id] = true
+	go func() {
+		r.open(ctx, id)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.opening, id)
+	}()
+}
+
+func (r *roles) open(ctx context.Context, id gate.ServerID) {
+	service, ok := r.vm.follower.State().View().Service(id.Service)
 	if !ok {
 		return
 	}
@@ -112,6 +130,10 @@
 		return
 	}
 	takeover := r.vm.askHandover(ctx, id, server)
+	expires, ok := r.leased(id)
+	if !ok {
+		return
+	}
 	opened := gate.Server{ID: id, Address: server.Address, Spec: service.Spec, Takeover: takeover}
 	if err := r.vm.gates.Open(opened, expires); err != nil {
 		r.vm.logger.Error("gate can't be opened", zap.String("service", id.Service), zap.String("server", id.Name), zap.Error(err))
@@ -120,6 +142,13 @@
 	r.vm.logger.Info("gate opened", zap.String("service", id.Service), zap.String("server", id.Name), zap.Bool("takeover", takeover != nil))
 }
 
+// leased returns the end of the present lease if it covers the gate.
+func (r *roles) leased(id gate.ServerID) (time.Time, bool) {
+	lease := r.current()
+	role := ownership.Role{Kind: ownership.RoleGate, Service: id.Service, Name: id.Name}
+	return r.clock.at(lease.Until), slices.Contains(lease.Roles, role)
+}
+
 func (r *roles) close(id gate.ServerID) {
 	_, handover := r.vm.gates.Close(id)
 	r.mu.Lock()
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -35,6 +35,7 @@
 	router     *router
 	unkeyed    *balancers
 	calls      *peer.Client
+	answers    *peer.Server
 	control    *control
 	roles      *roles
 	keyring    *callerkey.Keyring
@@ -106,10 +107,10 @@
 
 func (v *VM) listen() error {
 	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, &deduplicator{inner: dispatch.New(v.router, newRandom), partitions: v.partitions}, noObserver{}, v.stopping.Load)
-	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
-	v.registerHandlers(control)
+	v.answers = peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
+	v.registerHandlers(v.answers)
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.ControlPath, control)
+	peerMux.Handle(peer.ControlPath, v.answers)
 	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.gates))
 	var faults error
 	open := func(into **listener, address string, limit int, server *http.Server) {
@@ -184,6 +185,11 @@
 // OperatorAddress returns HOST:PORT of the operators' listener.
 func (v *VM) OperatorAddress() string { return v.operators.address() }
 
+// handoverLinger is the time for which a VM without duties still answers, so that
+// new keepers learn at once which tokens it holds. Without the answer they refuse
+// requests inside the rate until the process has ended.
+const handoverLinger = 300 * time.Millisecond
+
 // ErrStopping says that the VM has been told to stop before.
 var ErrStopping = errors.New("already stopping")
 
@@ -202,9 +208,11 @@
 	if v.fleet.hasSuccessor(v.options.FailureDomain, v.options.Name) && !v.assigner.requestStop(ctx) {
 		v.logger.Warn("duties of this VM did not move before the stop timeout")
 	}
+	sleep(ctx, handoverLinger)
 	v.stopWork()
 	v.background.Wait()
 	err = multierr.Append(err, v.peers.shutdown(ctx))
+	v.answers.Close()
 	err = multierr.Append(err, v.operators.shutdown(ctx))
 	v.calls.Close()
 	v.platform.Close()
