--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -67,7 +67,7 @@
 		return fail(streams, err)
 	}
 	fmt.Fprintf(streams.Out, "ready http://%s\n%s\n", cluster.VMs[0].CallerAddress(), cluster.SampleCommand())
-	fmt.Fprintf(streams.Out, "operators: fireflyfield get Service -address %s\n", cluster.VMs[0].OperatorAddress())
+	fmt.Fprintf(streams.Out, "operators: fireflyfield get -address %s Service\n", cluster.VMs[0].OperatorAddress())
 	<-ctx.Done()
 	if err := cluster.Stop(context.WithoutCancel(ctx)); err != nil {
 		return fail(streams, err)
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -35,7 +35,7 @@
   Prints resources with their status. KIND is one of ` + kindNames() + `, or
   "all", or "status" for the VMs, backend servers and workspaces. Tables list the
   worst first.
-  Example: fireflyfield get Service entretien -o yaml
+  Example: fireflyfield get -o yaml Service entretien
 `
 }
 
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"fireflyfield/internal/operator/api"
 	"fireflyfield/internal/resource"
@@ -94,17 +95,33 @@
 	return nil
 }
 
-// vmTable lists the VM with the lowest revision first.
+// vmTable lists missing VMs first, then those with the lowest revision.
 func vmTable(vms []api.VMStatus) table {
 	sorted := slices.Clone(vms)
-	slices.SortStableFunc(sorted, func(a, b api.VMStatus) int { return cmp.Compare(a.Revision, b.Revision) })
-	t := table{heading: []string{"VM", "DOMAIN", "STATE", "REVISION"}}
+	slices.SortStableFunc(sorted, func(a, b api.VMStatus) int {
+		return cmp.Or(cmp.Compare(boolRank(a.State != api.VMMissing), boolRank(b.State != api.VMMissing)), cmp.Compare(a.Revision, b.Revision))
+	})
+	t := table{heading: []string{"VM", "DOMAIN", "STATE", "REVISION", "ANSWERED", "DECIDER"}}
 	for _, vm := range sorted {
-		t.add(vm.Name, vm.FailureDomain, vm.State, strconv.FormatUint(vm.Revision, 10))
+		t.add(vm.Name, vm.FailureDomain, vm.State, strconv.FormatUint(vm.Revision, 10), answeredText(vm.AgeMillis), deciderText(vm.Decider))
 	}
 	return t
 }
 
+func answeredText(ageMillis int64) string {
+	if ageMillis < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%d ms ago", ageMillis)
+}
+
+func deciderText(decider bool) string {
+	if decider {
+		return "yes"
+	}
+	return ""
+}
+
 // backendTable lists the backend servers that are not warm first, then those with
 // the highest load.
 func backendTable(servers []api.BackendStatus) table {
@@ -145,9 +162,13 @@
 	slices.SortStableFunc(sorted, func(a, b api.DrainStatus) int {
 		return cmp.Or(cmp.Compare(b.SlicesLeft, a.SlicesLeft), cmp.Compare(b.InFlight, a.InFlight))
 	})
-	t := table{heading: []string{"DRAIN", "SLICES LEFT", "REQUESTS LEFT", "DONE"}}
+	t := table{heading: []string{"DRAIN", "SLICES LEFT", "REQUESTS LEFT", "SINCE", "DONE", "NO ANSWER OF"}}
 	for _, d := range sorted {
-		t.add(d.Name, strconv.Itoa(d.SlicesLeft), strconv.Itoa(d.InFlight), strconv.FormatBool(d.Done))
+		since := ""
+		if !d.Since.IsZero() {
+			since = d.Since.UTC().Format(time.RFC3339)
+		}
+		t.add(d.Name, strconv.Itoa(d.SlicesLeft), strconv.Itoa(d.InFlight), since, strconv.FormatBool(d.Done), strings.Join(d.Missing, ", "))
 	}
 	return t
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -63,6 +63,7 @@
 		policy.hedges.Return(time.Now())
 		return "", nil, false
 	}
+	d.hedged(p.request.Service)
 	return route.Server, d.start(ctx, p, route, results), true
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,6 +72,8 @@
 	router  Router
 	waiting chan struct{}
 	random  func() *rand.Rand
+	// observer may be nil.
+	observer Observer
 
 	mu       sync.RWMutex
 	policies map[string]*policy
@@ -217,7 +219,11 @@
 		RetryAfter:    failure.RetryAfter,
 		OtherServer:   !r.Spec.Keyed(),
 	})
-	return decision.Verdict == retry.Again && sleep(ctx, decision.After)
+	if decision.Verdict != retry.Again || !sleep(ctx, decision.After) {
+		return false
+	}
+	d.retried(r.Service)
+	return true
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- /dev/null
+++ b/internal/metrics/reason.go
@@ -0,0 +1,31 @@
+package metrics
+
+// otherReason stands for a reason that is not in the list.
+const otherReason = "other"
+
+// reasons lists the values of the label reason. Backend servers send reasons in a
+// header, so that an open set would let them create any number of series.
+var reasons = makeSet(
+	"", "body-memory", "body-too-large", "bad-request", "caller-key-in-path", "cancelled", "connect",
+	"connection-lost", "deadline", "deadline-too-close", "draining", "fence", "gate-answer", "gate-lost",
+	"gate-unknown", "gate-unreachable", "incomplete-body", "leaving", "malformed-forward", "moved",
+	"no-backend-server", "no-caller-key", "no-key", "no-lease", "no-owner", "not-gate", "not-ready",
+	"overloaded", "queue-full", "rate-exceeded", "service-not-allowed", "shed", "stale-caller-keys",
+	"unknown-caller-key", "unknown-service",
+)
+
+func makeSet(values ...string) map[string]bool {
+	set := make(map[string]bool, len(values))
+	for _, value := range values {
+		set[value] = true
+	}
+	return set
+}
+
+// Reason returns the reason, or "other" if it is not a known one.
+func Reason(reason string) string {
+	if reasons[reason] {
+		return reason
+	}
+	return otherReason
+}
--- /dev/null
+++ b/internal/metrics/source.go
@@ -0,0 +1,123 @@
+package metrics
+
+import (
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Gate is the state of one gate of this VM.
+type Gate struct {
+	Service, Server         string
+	Limit, InFlight, Queued int
+}
+
+// State is what gauges show; it is read when the metrics are collected.
+type State struct {
+	Ready   bool
+	Decider bool
+	Term    uint64
+	Gates   []Gate
+	// Roles counts the roles of this VM by kind.
+	Roles map[string]int
+	// VMs and MissingVMs count the VMs of the platform's list and those of them that
+	// do not answer.
+	VMs, MissingVMs int
+	Config          Config
+	// Drains counts the drains that are not done.
+	Drains int
+}
+
+// Config is how current the configuration is.
+type Config struct {
+	Position uint64
+	// ConfirmedAge is the time since the configuration was known to be current;
+	// negative if it never was.
+	ConfirmedAge time.Duration
+	Fault        bool
+	Failures     uint64
+	Refused      uint64
+	Duplicates   uint64
+	Restores     uint64
+}
+
+// Source returns the present state. It must not block.
+type Source func() State
+
+// gauges are the instruments that show State.
+type gauges struct {
+	ready, decider, term, limit, inFlight, queued, roles metric.Int64ObservableGauge
+	vms, missing, drains, position, fault                metric.Int64ObservableGauge
+	age                                                  metric.Float64ObservableGauge
+	failures, refused, duplicates, restores              metric.Int64ObservableCounter
+}
+
+// observe registers the gauges.
+func (b *builder) observe(source Source) {
+	g := gauges{
+		ready:      b.gauge("fireflyfield.ready", "1 while this VM serves callers."),
+		decider:    b.gauge("fireflyfield.decider", "1 while this VM is the decider of its failure domain."),
+		term:       b.gauge("fireflyfield.decider.term", "Highest term of the failure domain that this VM has read."),
+		limit:      b.gauge("fireflyfield.gate.limit", "Requests that the gate lets run at once."),
+		inFlight:   b.gauge("fireflyfield.gate.in_flight", "Requests at the backend server."),
+		queued:     b.gauge("fireflyfield.gate.queued", "Requests that wait for a slot."),
+		roles:      b.gauge("fireflyfield.roles", "Roles of this VM."),
+		vms:        b.gauge("fireflyfield.vms", "VMs of the platform's list."),
+		missing:    b.gauge("fireflyfield.vms.missing", "VMs of the platform's list that do not answer."),
+		drains:     b.gauge("fireflyfield.drains.pending", "Drains that are not done."),
+		position:   b.gauge("fireflyfield.config.position", "Revision of the configuration in force."),
+		fault:      b.gauge("fireflyfield.config.fault", "1 while the configuration can't be read from the log."),
+		age:        b.seconds("fireflyfield.config.confirmed_age", "Time since the configuration was known to be current; -1 if never."),
+		failures:   b.observableCounter("fireflyfield.config.read_failures", "Failed reads of the configuration."),
+		refused:    b.observableCounter("fireflyfield.config.refused", "Records of the configuration that replay refused."),
+		duplicates: b.observableCounter("fireflyfield.config.duplicates", "Records of the configuration that were repeated."),
+		restores:   b.observableCounter("fireflyfield.config.restores", "Restores of the configuration from a snapshot."),
+	}
+	b.callback(func(o metric.Observer) { g.report(o, source()) },
+		g.ready, g.decider, g.term, g.limit, g.inFlight, g.queued, g.roles, g.vms, g.missing, g.drains,
+		g.position, g.fault, g.age, g.failures, g.refused, g.duplicates, g.restores)
+}
+
+func (g gauges) report(o metric.Observer, s State) {
+	o.ObserveInt64(g.ready, asNumber(s.Ready))
+	o.ObserveInt64(g.decider, asNumber(s.Decider))
+	o.ObserveInt64(g.term, int64(s.Term))
+	o.ObserveInt64(g.vms, int64(s.VMs))
+	o.ObserveInt64(g.missing, int64(s.MissingVMs))
+	o.ObserveInt64(g.drains, int64(s.Drains))
+	for kind, count := range s.Roles {
+		o.ObserveInt64(g.roles, int64(count), metric.WithAttributeSet(attributes(labels{"kind"}, labels{kind})))
+	}
+	for _, gate := range s.Gates {
+		g.reportGate(o, gate)
+	}
+	g.reportConfig(o, s.Config)
+}
+
+func (g gauges) reportGate(o metric.Observer, gate Gate) {
+	set := metric.WithAttributeSet(attributes(labels{"service", "server"}, labels{gate.Service, gate.Server}))
+	o.ObserveInt64(g.limit, int64(gate.Limit), set)
+	o.ObserveInt64(g.inFlight, int64(gate.InFlight), set)
+	o.ObserveInt64(g.queued, int64(gate.Queued), set)
+}
+
+func (g gauges) reportConfig(o metric.Observer, c Config) {
+	age := c.ConfirmedAge.Seconds()
+	if c.ConfirmedAge < 0 {
+		age = -1
+	}
+	o.ObserveInt64(g.position, int64(c.Position))
+	o.ObserveInt64(g.fault, asNumber(c.Fault))
+	o.ObserveFloat64(g.age, age)
+	o.ObserveInt64(g.failures, int64(c.Failures))
+	o.ObserveInt64(g.refused, int64(c.Refused))
+	o.ObserveInt64(g.duplicates, int64(c.Duplicates))
+	o.ObserveInt64(g.restores, int64(c.Restores))
+}
+
+func asNumber(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/operator/api/overview.go
+++ b/internal/operator/api/overview.go
@@ -1,5 +1,7 @@
 package api
 
+import "time"
+
 // Overview is what one VM knows about the whole system.
 type Overview struct {
 	// VM and FailureDomain are those of the VM that answers.
@@ -18,14 +20,41 @@
 	Drains         []DrainStatus     `json:"drains"`
 }
 
-// VMStatus is the state of one VM as its heartbeats report it.
+// The states of a VM.
+const (
+	VMLive     = "live"
+	VMStarting = "starting"
+	VMLeaving  = "leaving"
+	// VMMissing means that the VM is on the platform's list and does not answer.
+	VMMissing = "missing"
+)
+
+// VMStatus is the state of one VM by its last answer.
 type VMStatus struct {
 	Name          string `json:"name"`
 	FailureDomain string `json:"failureDomain"`
-	// State is the state in the membership, such as "live" or "leaving".
-	State string `json:"state"`
-	// Revision is the configuration that the VM has applied.
+	State         string `json:"state"`
+	// Revision is the configuration that the VM had applied when it last answered; 0
+	// if it never did.
 	Revision uint64 `json:"revision"`
+	// AgeMillis is the time in ms since the VM last answered; -1 if it never did.
+	AgeMillis int64 `json:"ageMillis"`
+	// Decider says that the VM is the decider of its failure domain.
+	Decider bool         `json:"decider,omitempty"`
+	Gates   []GateStatus `json:"gates,omitempty"`
+}
+
+// GateStatus is the state of the gate of one backend server.
+type GateStatus struct {
+	Service       string `json:"service"`
+	BackendServer string `json:"backendServer"`
+	// State is "cold" or "warm".
+	State string `json:"state"`
+	// Slots is the largest and Limit the present number of requests at once.
+	Slots    int `json:"slots"`
+	Limit    int `json:"limit"`
+	InFlight int `json:"inFlight"`
+	Queued   int `json:"queued"`
 }
 
 // BackendStatus is the state of one backend server.
@@ -33,7 +62,8 @@
 	Service       string `json:"service"`
 	Name          string `json:"name"`
 	FailureDomain string `json:"failureDomain"`
-	// State is "cold", "warm", "draining" or "lost".
+	// State is "cold", "warm", "draining", "lost", or "unknown" if no VM reports a
+	// gate of the backend server.
 	State string `json:"state"`
 	// Slices is the number of slices and hot keys that the backend server owns.
 	Slices int `json:"slices"`
@@ -62,7 +92,12 @@
 type DrainStatus struct {
 	Name string `json:"name"`
 	// SlicesLeft and InFlight are what still has to leave the target.
-	SlicesLeft int  `json:"slicesLeft"`
-	InFlight   int  `json:"inFlight"`
-	Done       bool `json:"done"`
+	SlicesLeft int `json:"slicesLeft"`
+	InFlight   int `json:"inFlight"`
+	// Since is when the VMs first saw the Drain in its present revision.
+	Since time.Time `json:"since,omitzero"`
+	// Missing names the VMs that may have requests in flight and do not answer; the
+	// Drain is not done before they do.
+	Missing []string `json:"missing,omitempty"`
+	Done    bool     `json:"done"`
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"fireflyfield/internal/config"
 	"fireflyfield/internal/operator/api"
@@ -110,6 +111,12 @@
 			condition.Status = True
 		}
 		condition.Reason = fmt.Sprintf("%d slices and %d requests left", drain.SlicesLeft, drain.InFlight)
+		if len(drain.Missing) > 0 {
+			condition.Reason += ", no answer of " + strings.Join(drain.Missing, ", ")
+		}
+		if !drain.Since.IsZero() {
+			status.Details["since"] = drain.Since.UTC().Format(time.RFC3339)
+		}
 		status.Conditions = append(status.Conditions, condition)
 	}
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,6 +21,7 @@
 	identity Identity
 	token    string
 	http     *http.Client
+	meter    Meter
 
 	mu    sync.Mutex
 	conns map[string]*clientConn
@@ -28,7 +29,7 @@
 
 // NewClient returns a client that introduces itself with the identity.
 func NewClient(identity Identity, token string) *Client {
-	return &Client{identity: identity, token: token, http: &http.Client{}, conns: make(map[string]*clientConn)}
+	return &Client{identity: identity, token: token, http: &http.Client{}, meter: noMeter{}, conns: make(map[string]*clientConn)}
 }
 
 // Close closes every connection.
@@ -186,6 +187,7 @@
 		if err != nil {
 			return
 		}
+		c.client.meter.MessageReceived(message.Type, len(data))
 		c.mu.Lock()
 		waiter := c.pending[message.ID]
 		delete(c.pending, message.ID)
@@ -210,6 +212,7 @@
 	if err := c.write(ctx, data); err != nil {
 		return nil, err
 	}
+	c.client.meter.MessageSent(kind, len(data))
 	select {
 	case message := <-waiter:
 		return replyBody(message)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -31,6 +31,7 @@
 	identity Identity
 	token    string
 	logger   *zap.Logger
+	meter    Meter
 
 	mu       sync.RWMutex
 	handlers map[MessageType]callHandler
@@ -38,7 +39,7 @@
 
 // NewServer returns a server without handlers. An empty token accepts every VM.
 func NewServer(identity Identity, token string, logger *zap.Logger) *Server {
-	return &Server{identity: identity, token: token, logger: logger, handlers: make(map[MessageType]callHandler)}
+	return &Server{identity: identity, token: token, logger: logger, meter: noMeter{}, handlers: make(map[MessageType]callHandler)}
 }
 
 // Handle registers the handler of one message type with a size limit in bytes.
@@ -112,6 +113,7 @@
 			s.reply(ctx, conn, message, &RemoteError{Code: CodeMalformed, Detail: "not a call"})
 			continue
 		}
+		s.meter.MessageReceived(message.Type, len(data))
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
@@ -158,6 +160,7 @@
 		s.logger.Error("answer to a VM could not be encoded", zap.Error(err))
 		return
 	}
+	s.meter.MessageSent(to.Type, len(data))
 	_ = conn.Write(ctx, websocket.MessageBinary, data) // a broken connection ends the read loop
 }
 
--- a/internal/vm/assigner.go
+++ b/internal/vm/assigner.go
@@ -113,8 +113,10 @@
 		a.vm.table.UpdateHomes(homes)
 		a.vm.router.notify()
 	}
+	a.vm.leadership.update(a.decider, a.domain)
 	if leading := a.decider.IsDecider(); leading != a.leading {
 		a.leading = leading
+		a.vm.countDecider(leading)
 		a.logger.Info("decider role", zap.Bool("held", leading), zap.Uint64("term", uint64(a.decider.State().Term)))
 	}
 }
@@ -122,6 +124,7 @@
 // enqueue hands an event to the logic. It waits if the queue is full, so that no
 // result of an action is lost.
 func (a *assigner) enqueue(ctx context.Context, event ownership.Event) {
+	a.count(event)
 	select {
 	case a.events <- queuedEvent{event: event}:
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/vm/metrics.go
@@ -0,0 +1,216 @@
+package vm
+
+import (
+	"context"
+	"time"
+
+	"fireflyfield/internal/backend"
+	"fireflyfield/internal/caller"
+	"fireflyfield/internal/dispatch"
+	"fireflyfield/internal/metrics"
+	"fireflyfield/internal/operator/api"
+	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/ownership"
+	"fireflyfield/internal/peer"
+)
+
+// messageNames are the values of the label type.
+var messageNames = map[peer.MessageType]string{
+	messageHeartbeat:   "heartbeat",
+	messageDomainMap:   "domain_map",
+	messageStopUnits:   "stop_units",
+	messageLoad:        "load",
+	messageHandover:    "handover",
+	messageQuota:       "quota",
+	messageExchange:    "exchange",
+	messageStatus:      "status",
+	messageIdempotency: "idempotency",
+}
+
+// peerMeter counts control messages.
+type peerMeter struct{ metrics *metrics.Metrics }
+
+// MessageSent implements peer.Meter.
+func (m peerMeter) MessageSent(kind peer.MessageType, size int) {
+	m.metrics.PeerMessage(messageName(kind), metrics.Sent, size)
+}
+
+// MessageReceived implements peer.Meter.
+func (m peerMeter) MessageReceived(kind peer.MessageType, size int) {
+	m.metrics.PeerMessage(messageName(kind), metrics.Received, size)
+}
+
+func messageName(kind peer.MessageType) string {
+	if name, ok := messageNames[kind]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+// Values of the label outcome besides those of outcome.Kind.
+const outcomeCut = "cut"
+
+// requestMeter counts the answers that callers get.
+type requestMeter struct {
+	metrics *metrics.Metrics
+	use     *use
+}
+
+// Answered implements caller.Observer.
+func (m requestMeter) Answered(r *dispatch.Request, answer caller.Answer) {
+	service := r.Service
+	if r.Spec == nil {
+		service = "" // the name may not exist; the path is the caller's text
+	}
+	result, reason := outcome.Ran.String(), ""
+	if answer.Cut {
+		result = outcomeCut
+	}
+	if answer.Refusal != nil {
+		result, reason = answer.Refusal.Kind.String(), answer.Refusal.Reason
+	}
+	m.metrics.Request(service, r.Workspace, result, reason, answer.Took)
+	if answer.Refusal != nil && r.Workspace != "" {
+		m.use.refused(r.Workspace, metrics.Reason(reason))
+	}
+}
+
+// limitMeter counts the decisions on workspaces' rates.
+type limitMeter struct {
+	limiter caller.Limiter
+	metrics *metrics.Metrics
+	use     *use
+}
+
+// Take implements caller.Limiter.
+func (m limitMeter) Take(ctx context.Context, workspace string) *outcome.Refusal {
+	refusal := m.limiter.Take(ctx, workspace)
+	if refusal != nil {
+		m.metrics.QuotaTake(workspace, metrics.Refused)
+		return refusal
+	}
+	m.metrics.QuotaTake(workspace, metrics.Granted)
+	m.use.granted(workspace)
+	return nil
+}
+
+// gateReasons are the failures that the gate itself gives.
+var gateReasons = map[string]bool{
+	"deadline-too-close": true, "queue-full": true, "not-gate": true, "no-lease": true,
+	"leaving": true, "cancelled": true, "overloaded": true, "moved": true,
+}
+
+// gateMeter counts what the gates of this VM refuse.
+type gateMeter struct {
+	gates   peer.Sender
+	metrics *metrics.Metrics
+	// known tells the names of services apart from other text in a forwarded request.
+	known func(service string) bool
+}
+
+// Send implements peer.Sender.
+func (m gateMeter) Send(ctx context.Context, attempt peer.Attempt) (*backend.Response, error) {
+	resp, err := m.gates.Send(ctx, attempt)
+	if failure, ok := err.(*backend.Failure); ok && gateReasons[failure.Reason] && m.known(attempt.Service) {
+		m.metrics.GateRefusal(attempt.Service, failure.Reason)
+	}
+	return resp, err
+}
+
+// count counts the results of lease messages.
+func (a *assigner) count(event ownership.Event) {
+	m := a.vm.metrics
+	switch e := event.(type) {
+	case ownership.GrantReplied:
+		if e.Refused {
+			m.Renewal(metrics.LeaseBackend, metrics.ResultRefused)
+		} else {
+			m.Renewal(metrics.LeaseBackend, metrics.ResultOK)
+		}
+	case ownership.GrantFailed:
+		m.Renewal(metrics.LeaseBackend, metrics.ResultFailed)
+	case ownership.HeartbeatReplied:
+		m.Renewal(metrics.LeaseRole, metrics.ResultOK)
+	}
+}
+
+// roleNames are the values of the label kind.
+var roleNames = map[ownership.RoleKind]string{
+	ownership.RoleGate:              "gate",
+	ownership.RoleKeeper:            "keeper",
+	ownership.RoleIdempotencyHolder: "idempotency_holder",
+	ownership.RoleIdempotencyBackup: "idempotency_backup",
+}
+
+// countRoles counts the roles that differ between two leases.
+func (v *VM) countRoles(before, after []ownership.Role) {
+	changes := make(map[ownership.RoleKind]struct{ gained, lost int })
+	had := make(map[ownership.Role]bool, len(before))
+	for _, role := range before {
+		had[role] = true
+	}
+	for _, role := range after {
+		if !had[role] {
+			c := changes[role.Kind]
+			c.gained++
+			changes[role.Kind] = c
+		}
+		delete(had, role)
+	}
+	for role := range had {
+		c := changes[role.Kind]
+		c.lost++
+		changes[role.Kind] = c
+	}
+	for kind, c := range changes {
+		v.metrics.RoleChanged(roleNames[kind], metrics.Gained, c.gained)
+		v.metrics.RoleChanged(roleNames[kind], metrics.Lost, c.lost)
+	}
+}
+
+// metricsState is the source of the gauges.
+func (v *VM) metricsState() metrics.State {
+	state := metrics.State{
+		Ready:   v.Ready(),
+		Decider: v.leadership.leading.Load(),
+		Term:    v.leadership.term.Load(),
+		Roles:   make(map[string]int),
+		Config:  v.metricsConfig(),
+	}
+	for _, role := range v.roles.current().Roles {
+		state.Roles[roleNames[role.Kind]]++
+	}
+	for _, g := range v.localGates() {
+		state.Gates = append(state.Gates, metrics.Gate{Service: g.Service, Server: g.Server, Limit: g.Limit, InFlight: g.InFlight, Queued: g.Queued})
+	}
+	overview := v.Overview()
+	state.VMs = len(overview.VMs)
+	for _, vm := range overview.VMs {
+		if vm.State == api.VMMissing {
+			state.MissingVMs++
+		}
+	}
+	for _, drain := range overview.Drains {
+		if !drain.Done {
+			state.Drains++
+		}
+	}
+	return state
+}
+
+func (v *VM) metricsConfig() metrics.Config {
+	status := v.follower.Status()
+	config := metrics.Config{
+		Position:     status.Position,
+		ConfirmedAge: -1,
+		Fault:        status.Fault != "",
+		Failures:     status.Failures,
+		Refused:      status.Refused,
+		Duplicates:   status.Duplicates,
+		Restores:     status.Restores,
+	}
+	if !status.ConfirmedAt.IsZero() {
+		config.ConfirmedAge = time.Since(status.ConfirmedAt)
+	}
+	return config
+}
--- a/internal/vm/parts.go
+++ b/internal/vm/parts.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"fireflyfield/internal/caller"
 	"fireflyfield/internal/config"
-	"fireflyfield/internal/dispatch"
 	"fireflyfield/internal/ownership"
 	"fireflyfield/internal/quota"
 	"fireflyfield/internal/resource"
@@ -24,21 +21,6 @@
 	return found.Spec, ok
 }
 
-type noObserver struct{}
-
-func (noObserver) Answered(*dispatch.Request, caller.Answer) {}
-
-func (v *VM) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !v.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
-
 // quotaRecovery is the time after which keepers that all started together lend
 // tokens; before, they would refuse requests inside the rate.
 const quotaRecovery = quota.BatchLifetime + quota.ClockMargin + 200*time.Millisecond
--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -27,6 +27,7 @@
 	peer.Handle(server, messageHandover, smallLimit, v.onHandover)
 	peer.Handle(server, messageExchange, smallLimit, v.onExchange)
 	peer.Handle(server, messageQuota, recordsLimit, v.quotas.onMessage)
+	peer.Handle(server, messageStatus, smallLimit, v.onStatus)
 }
 
 func (v *VM) onHeartbeat(ctx context.Context, _ peer.Identity, heartbeat ownership.Heartbeat) (ownership.HeartbeatReply, error) {
--- a/internal/vm/roles.go
+++ b/internal/vm/roles.go
@@ -42,8 +42,10 @@
 // keep working; run opens and closes the others.
 func (r *roles) set(lease ownership.RoleLease) {
 	r.mu.Lock()
+	former := r.lease
 	r.lease = lease
 	r.mu.Unlock()
+	r.vm.countRoles(former.Roles, lease.Roles)
 	if len(lease.Roles) > 0 {
 		r.clock.agreed(lease.Since)
 	}
--- a/internal/vm/sender.go
+++ b/internal/vm/sender.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"fireflyfield/internal/backend"
-	"fireflyfield/internal/gate"
 	"fireflyfield/internal/outcome"
 	"fireflyfield/internal/peer"
 )
@@ -12,7 +11,7 @@
 // senders gives the way to the gate on any VM.
 type senders struct {
 	self      string
-	gates     *gate.Set
+	gates     peer.Sender
 	fleet     *fleet
 	forwarder *peer.Forwarder
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -40,6 +40,7 @@
 	keyring  *callerkey.Keyring
 	quotas   *quotas
 	assigner *assigner
+	operatorState
 
 	callers   *listener
 	peers     *listener
@@ -83,6 +84,7 @@
 		table:    ownership.NewTable(),
 		calls:    peer.NewClient(identity, options.PeerToken),
 	}
+	v.operatorState = newOperatorState(v)
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
@@ -91,7 +93,7 @@
 	v.quotas = newQuotas(v)
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
-	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
+	send := &senders{self: options.Name, gates: v.measuredGates(), fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
 	v.unkeyed = newBalancers(options.FailureDomain, v.table, send)
 	v.router = newRouter(v.table, send, v.unkeyed)
 	return v
@@ -100,12 +102,15 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (v *VM) listen() error {
-	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
+	dispatcher := dispatch.New(v.router, newRandom)
+	dispatcher.Observe(v.metrics)
+	handler := caller.New(keys{v.keyring}, v.measuredLimiter(), services{v.follower.State()}, dispatcher, v.requestMeter(), v.stopping.Load)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
+	control.Measure(peerMeter{v.metrics})
 	v.registerHandlers(control)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.ControlPath, control)
-	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.gates))
+	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.measuredGates()))
 	var faults error
 	open := func(into **listener, address string, limit int, server *http.Server) {
 		opened, err := listen(address, limit, server)
@@ -139,6 +144,7 @@
 	v.background.Go(func() { v.exchange(ctx) })
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
+	v.background.Go(func() { v.collector.run(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
 	}
@@ -185,6 +191,7 @@
 	if v.stopping.Swap(true) {
 		return ErrStopping
 	}
+	close(v.stopSignal)
 	v.logger.Info("stopping")
 	ctx, cancel := context.WithTimeout(ctx, v.options.StopTimeout)
 	defer cancel()
