--- a/internal/vm/operators.go
+++ b/internal/vm/operators.go
@@ -73,3 +73,6 @@
 	}
 	v.metrics.DeciderChanged(change)
 }
+
+// Revision returns the revision of the configuration that is in force on this VM.
+func (v *VM) Revision() uint64 { return v.follower.State().View().Revision() }
