--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -162,13 +162,13 @@
 	slices.SortStableFunc(sorted, func(a, b api.DrainStatus) int {
 		return cmp.Or(cmp.Compare(b.SlicesLeft, a.SlicesLeft), cmp.Compare(b.InFlight, a.InFlight))
 	})
-	t := table{heading: []string{"DRAIN", "SLICES LEFT", "REQUESTS LEFT", "SINCE", "DONE", "NO ANSWER OF"}}
+	t := table{heading: []string{"DRAIN", "SLICES LEFT", "REQUESTS LEFT", "PARTITIONS LEFT", "SINCE", "DONE", "NO ANSWER OF"}}
 	for _, d := range sorted {
 		since := ""
 		if !d.Since.IsZero() {
 			since = d.Since.UTC().Format(time.RFC3339)
 		}
-		t.add(d.Name, strconv.Itoa(d.SlicesLeft), strconv.Itoa(d.InFlight), since, strconv.FormatBool(d.Done), strings.Join(d.Missing, ", "))
+		t.add(d.Name, strconv.Itoa(d.SlicesLeft), strconv.Itoa(d.InFlight), strconv.Itoa(d.PartitionsLeft), since, strconv.FormatBool(d.Done), strings.Join(d.Missing, ", "))
 	}
 	return t
 }
--- a/internal/metrics/reason.go
+++ b/internal/metrics/reason.go
@@ -8,9 +8,10 @@
 var reasons = makeSet(
 	"", "body-memory", "body-too-large", "bad-request", "caller-key-in-path", "cancelled", "connect",
 	"connection-lost", "deadline", "deadline-too-close", "draining", "fence", "gate-answer", "gate-lost",
-	"gate-unknown", "gate-unreachable", "incomplete-body", "leaving", "malformed-forward", "moved",
-	"no-backend-server", "no-caller-key", "no-key", "no-lease", "no-owner", "not-gate", "not-ready",
-	"overloaded", "queue-full", "rate-exceeded", "service-not-allowed", "shed", "stale-caller-keys",
+	"gate-unknown", "gate-unreachable", "idempotency-holder-moved", "idempotency-key-reused",
+	"idempotency-key-too-long", "in-progress", "incomplete-body", "leaving", "malformed-forward", "moved",
+	"no-backend-server", "no-idempotency-holder", "no-caller-key", "no-key", "no-lease", "no-owner", "not-gate", "not-ready",
+	"overloaded", "queue-full", "rate-exceeded", "result-unknown", "service-not-allowed", "shed", "stale-caller-keys", "too-many-idempotency-keys",
 	"unknown-caller-key", "unknown-service",
 )
 
--- a/internal/operator/api/overview.go
+++ b/internal/operator/api/overview.go
@@ -94,6 +94,10 @@
 	// SlicesLeft and InFlight are what still has to leave the target.
 	SlicesLeft int `json:"slicesLeft"`
 	InFlight   int `json:"inFlight"`
+	// PartitionsLeft counts the partitions of idempotency keys that VMs of the failure
+	// domain keep. Done does not wait for them; without these VMs requests with an
+	// Idempotency-Key of the partitions are refused.
+	PartitionsLeft int `json:"partitionsLeft"`
 	// Since is when the VMs first saw the Drain in its present revision.
 	Since time.Time `json:"since,omitzero"`
 	// Missing names the VMs that may have requests in flight and do not answer; the
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -111,6 +111,9 @@
 			condition.Status = True
 		}
 		condition.Reason = fmt.Sprintf("%d slices and %d requests left", drain.SlicesLeft, drain.InFlight)
+		if drain.PartitionsLeft > 0 {
+			status.Details["partitions left"] = strconv.Itoa(drain.PartitionsLeft)
+		}
 		if len(drain.Missing) > 0 {
 			condition.Reason += ", no answer of " + strings.Join(drain.Missing, ", ")
 		}
--- a/internal/ownership/roles.go
+++ b/internal/ownership/roles.go
@@ -40,6 +40,7 @@
 	if !d.membersKnown() {
 		return
 	}
+	d.promoteBackups()
 	counts := make(map[Member]int)
 	for _, member := range lead.roles {
 		counts[member]++
@@ -51,6 +52,7 @@
 	}
 	d.balanceRoles()
 	d.initPartitions()
+	d.recordPairs()
 }
 
 func compareRoles(a, b Role) int {
@@ -154,7 +156,7 @@
 
 func (d *Decider) moveRole(role Role, from, to Member) bool {
 	if other := partner(role); other != (Role{}) {
-		if d.lead.roles[other] != to {
+		if d.lead.roles[other] != to || !d.pairSettled(role.Partition) {
 			return false
 		}
 		d.lead.roles[other] = from
@@ -184,6 +186,9 @@
 		if holder != member || !known && !m.mayHold(role) {
 			continue
 		}
+		if isPartitionRole(role) && !d.pairRecorded(role.Partition) {
+			continue
+		}
 		if d.roleFree(role, member) {
 			roles = append(roles, role)
 		}
--- a/internal/vm/drains.go
+++ b/internal/vm/drains.go
@@ -3,6 +3,7 @@
 import (
 	"fireflyfield/internal/config"
 	"fireflyfield/internal/operator/api"
+	"fireflyfield/internal/ownership"
 	"fireflyfield/internal/resource"
 )
 
@@ -40,6 +41,7 @@
 	}
 	if spec.FailureDomain != "" {
 		status.SlicesLeft = max(status.SlicesLeft, b.homesLeft(spec.FailureDomain))
+		status.PartitionsLeft, _ = b.table.SlicesAt(ownership.IdempotencyService, spec.FailureDomain)
 	}
 	if spec.ConfirmedDown {
 		status.SlicesLeft = b.homesLeft(spec.FailureDomain)
