--- a/internal/dev/operators_test.go
+++ b/internal/dev/operators_test.go
@@ -137,7 +137,7 @@
 		running.Go(func() {
 			for i := worker; ctx.Err() == nil; i += 4 {
 				path := fmt.Sprintf("/entretien/bloc-%d", i%200)
-				if i%2 == 0 {
+				if i/4%2 == 0 { // i%4 chooses the VM, and each VM prefers its own backend servers
 					path = "/rota/plan"
 				}
 				_, _, _ = call{method: "POST", path: path, key: sampleKey}.send(ctx, cluster.VMs[i%len(cluster.VMs)].CallerAddress())
