--- a/internal/dev/inforce_test.go
+++ b/internal/dev/inforce_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -132,8 +133,20 @@
 	proxy.set(true)
 	cut := inForceTimes(t, cluster, seeds, len(cluster.VMs)-1)
 	t.Logf("%d VMs, one cut off from the platform, %d seeds: median %s, worst %s", len(cluster.VMs), seeds, cut[seeds/2], cut[seeds-1])
-	if cutOff.Overview().VM != "vm-cut" {
-		t.Fatal("the wrong VM was cut off")
+	remove(t, operatorClient(t, cluster.VMs[0].OperatorAddress()), resource.ID{Kind: resource.KindCallerKey, Name: "sandaga-1"})
+	accepted := time.Now()
+	for {
+		resp, _, err := call{method: http.MethodGet, path: "/rota/plan", key: sampleKey}.send(t.Context(), cutOff.CallerAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode == http.StatusUnauthorized {
+			break
+		}
+		if time.Since(accepted) > leaveLimit {
+			t.Fatal("the VM that is cut off accepts a withdrawn key")
+		}
 	}
+	t.Logf("key refused at the VM that is cut off after %s", time.Since(accepted))
 	proxy.set(false)
 }
