--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -42,6 +42,7 @@
 	quotas     *quotas
 	partitions *partitions
 	assigner   *assigner
+	operatorState
 
 	callers   *listener
 	peers     *listener
@@ -88,6 +89,7 @@
 		table:    ownership.NewTable(),
 		calls:    peer.NewClient(identity, options.PeerToken),
 	}
+	v.operatorState = newOperatorState(v)
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
@@ -97,7 +99,7 @@
 	v.partitions = newPartitions(v)
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
-	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
+	send := &senders{self: options.Name, gates: v.measuredGates(), fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
 	v.unkeyed = newBalancers(options.FailureDomain, v.table, send)
 	v.router = newRouter(v.table, send, v.unkeyed)
 	return v
@@ -105,13 +107,36 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func (v *VM) listen() error {
-	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, &deduplicator{inner: dispatch.New(v.router, newRandom), partitions: v.partitions}, noObserver{}, v.stopping.Load)
-	v.answers = peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
+// callerHandler wires the callers' side.
+func (v *VM) callerHandler() http.Handler {
+	dispatcher := dispatch.New(v.router, newRandom)
+	dispatcher.Observe(v.metrics)
+	return caller.New(
+		keys{v.keyring},
+		v.measuredLimiter(),
+		services{v.follower.State()},
+		&deduplicator{inner: dispatcher, partitions: v.partitions},
+		v.requestMeter(),
+		v.stopping.Load,
+	)
+}
+
+// newAnswers wires the server that answers other VMs.
+func (v *VM) newAnswers() *peer.Server {
+	v.answers = peer.NewServer(v.identity(), v.options.PeerToken, v.logger)
+	v.answers.Measure(peerMeter{v.metrics})
 	v.registerHandlers(v.answers)
+	return v.answers
+}
+
+func (v *VM) identity() peer.Identity {
+	return peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}
+}
+
+func (v *VM) listen() error {
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.ControlPath, v.answers)
-	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.gates))
+	peerMux.Handle(peer.ControlPath, v.newAnswers())
+	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.measuredGates()))
 	var faults error
 	open := func(into **listener, address string, limit int, server *http.Server) {
 		opened, err := listen(address, limit, server)
@@ -120,7 +145,7 @@
 	}
 	open(&v.peers, v.options.PeerListen, 0, peerServer(peerMux))
 	open(&v.operators, v.options.OperatorListen, 0, operatorServer(v.operatorHandler()))
-	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(handler))
+	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(v.callerHandler()))
 	if faults != nil {
 		v.closeListeners()
 	}
@@ -145,6 +170,7 @@
 	v.background.Go(func() { v.exchange(ctx) })
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
+	v.background.Go(func() { v.collector.run(ctx) })
 	v.background.Go(func() { v.partitions.run(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
@@ -200,6 +226,7 @@
 	if v.stopping.Swap(true) {
 		return ErrStopping
 	}
+	close(v.stopSignal)
 	v.logger.Info("stopping")
 	ctx, cancel := context.WithTimeout(ctx, v.options.StopTimeout)
 	defer cancel()
