--- a/internal/vm/assigner.go
+++ b/internal/vm/assigner.go
@@ -114,9 +114,11 @@
 		a.vm.router.notify()
 	}
 	a.vm.leadership.update(a.decider, a.domain)
+	a.vm.loads.setDecider(a.decider.State().Decider.VM)
 	if leading := a.decider.IsDecider(); leading != a.leading {
 		a.leading = leading
 		a.vm.countDecider(leading)
+		a.vm.loads.lead(leading)
 		a.logger.Info("decider role", zap.Bool("held", leading), zap.Uint64("term", uint64(a.decider.State().Term)))
 	}
 }
--- a/internal/vm/quota.go
+++ b/internal/vm/quota.go
@@ -319,10 +319,10 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var answer quotaMessage
-	_, err := q.vm.calls.Call(ctx, address, messageQuota, quotaMessage{Envelopes: batch}, &answer)
+	_, err := q.vm.calls.Call(callCtx, address, messageQuota, quotaMessage{Envelopes: batch}, &answer)
 	var unreachable *peer.UnreachableError
 	if errors.As(err, &unreachable) && unreachable.Refused {
 		q.holderGone(vm)
@@ -330,6 +330,7 @@
 	if err != nil {
 		return
 	}
+	// The messages that follow are sent after this call's context has ended.
 	q.deliver(ctx, q.handle(answer.Envelopes))
 }
 
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -40,6 +40,7 @@
 	roles      *roles
 	keyring    *callerkey.Keyring
 	quotas     *quotas
+	loads      *loads
 	partitions *partitions
 	assigner   *assigner
 	operatorState
@@ -93,7 +94,8 @@
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
-	v.gates = gate.NewSet(owners{v}, clock.leaseNow)
+	v.loads = newLoads(v)
+	v.gates = gate.NewSet(owners{v}, clock.leaseNow, v.loads.meter)
 	v.keyring = callerkey.NewKeyring(time.Now())
 	v.quotas = newQuotas(v)
 	v.partitions = newPartitions(v)
@@ -145,7 +147,7 @@
 	}
 	open(&v.peers, v.options.PeerListen, 0, peerServer(peerMux))
 	open(&v.operators, v.options.OperatorListen, 0, operatorServer(v.operatorHandler()))
-	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(v.callerHandler()))
+	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(guarded(v.callerHandler())))
 	if faults != nil {
 		v.closeListeners()
 	}
@@ -171,6 +173,9 @@
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
 	v.background.Go(func() { v.collector.run(ctx) })
+	v.background.Go(func() { v.loads.run(ctx) })
+	v.background.Go(func() { v.watchServers(ctx) })
+	v.background.Go(func() { v.readServerLoads(ctx) })
 	v.background.Go(func() { v.partitions.run(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
