Record traces in serve, dev and standin backend, and replay them

Cause: docs/trace-format.md asks for events that nothing wrote, so that no checker or metric could be run on the real system.

Change: recorders for requests (internal/recording behind caller.Recorder), attempts (gate.Recorder), configuration, planned stops and the backend stand-in; a sink that several recorders of one process share; the header Fireflyfield-Attempt. replay -generate makes scripts from a seed, replay -trace sends them against a deployment of internal/dev, replay -check and -metrics read the result; report prints service-level burn and the capacity table.

The stand-in no longer counts a cancelled run as an answer that warms it up, and aborts a response whose run was cancelled between its end and the write.

Ruled out: recording through caller.Observer, which is also the place of counters; it would hash every answer's body without a trace.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -64,7 +64,9 @@
 
 // Request is one attempt at a backend server.
 type Request struct {
-	ID        string
+	ID string
+	// Attempt numbers the attempts of one request from 1; zero sends no number.
+	Attempt   uint32
 	Workspace string
 	Method    string
 	// Target is the path with query, without the service name.
@@ -86,6 +88,8 @@
 	Header   http.Header
 	Body     io.ReadCloser
 	Instance string
+	// Attempt is the number of the attempt that brought the answer.
+	Attempt uint32
 }
 
 // Failure is an attempt that brought no answer to pass on.
@@ -156,6 +160,9 @@
 		hideIdempotencyKey(req.Header)
 	}
 	req.Header.Set(HeaderRequestID, r.ID)
+	if r.Attempt > 0 {
+		req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(r.Attempt), 10))
+	}
 	req.Header.Set(HeaderWorkspace, r.Workspace)
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
 	if r.Keyed {
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -8,6 +8,9 @@
 const (
 	HeaderRequestID = "Fireflyfield-Request-Id"
 	HeaderWorkspace = "Fireflyfield-Workspace"
+	// HeaderAttempt holds the number of the attempt, from 1 for each request. It
+	// serves traces only; a backend server need not read it.
+	HeaderAttempt = "Fireflyfield-Attempt"
 	// HeaderDeadline holds Unix milliseconds.
 	HeaderDeadline = "Fireflyfield-Deadline"
 	// HeaderFence holds the fencing token as "term.counter".
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -73,6 +73,8 @@
 	Services   Services
 	Dispatcher Dispatcher
 	Observer   Observer
+	// Recorder writes a trace; nil for none. It must be set before the first request.
+	Recorder Recorder
 	// Leaving reports whether the VM is about to stop.
 	Leaving func() bool
 
@@ -121,38 +123,43 @@
 		w.Header().Set("Connection", "close")
 	}
 	answer := Answer{}
+	recording := h.record(r, request)
 	defer func() {
 		answer.Took = time.Since(start)
+		recording.finish(answer)
 		h.Observer.Answered(request, answer)
 		if answer.Cut {
 			panic(http.ErrAbortHandler) // the caller must not take a cut answer for a whole one
 		}
 	}()
-	resp, release, refusal := h.serve(r, w, request)
+	resp, release, refusal := h.serve(r, w, request, recording)
 	defer release()
 	if refusal != nil {
 		answer.Status, answer.Refusal = refusal.Status, refusal
 		refusal.Write(w)
 		return
 	}
+	recording.watch(resp)
 	answer.Status = resp.Status
 	answer.Cut = writeResponse(w, resp) != nil
 }
 
 // serve takes the request to its answer. The release function ends the request's
 // context and must be called after the answer was written.
-func (h *Handler) serve(r *http.Request, w http.ResponseWriter, request *dispatch.Request) (*backend.Response, func(), *outcome.Refusal) {
+func (h *Handler) serve(r *http.Request, w http.ResponseWriter, request *dispatch.Request, recording *recording) (*backend.Response, func(), *outcome.Refusal) {
 	token, identity, refusal := h.authenticate(r, w, request)
-	if refusal != nil {
-		return nil, func() {}, refusal
+	if refusal == nil {
+		refusal = h.fill(r, token, request)
 	}
-	if refusal := h.fill(r, token, request); refusal != nil {
+	recording.receive(token, identity)
+	if refusal != nil {
 		return nil, func() {}, refusal
 	}
 	ctx, release := requestContext(r.Context(), request.Deadline, identity.Withdrawn)
 	if refusal := h.Limiter.Take(ctx, request.Workspace); refusal != nil {
 		return nil, release, refusal
 	}
+	recording.admit()
 	body, free, refusal := h.readBody(w, r, request)
 	if refusal != nil {
 		return nil, release, refusal
@@ -170,7 +177,7 @@
 	}
 	identity, refusal := h.Auth.Authenticate(token, request.Service)
 	if refusal != nil {
-		return "", Identity{}, refusal
+		return token, Identity{}, refusal
 	}
 	request.Workspace = identity.Workspace
 	return token, identity, nil
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -20,6 +20,8 @@
 		&serveCommand{},
 		&devCommand{},
 		&standinCommand{},
+		&reportCommand{},
+		&replayCommand{},
 		&versionCommand{},
 	}
 }
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -7,14 +7,17 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"go.uber.org/multierr"
 
 	"fireflyfield/internal/dev"
+	"fireflyfield/internal/trace"
 )
 
 // devCommand runs a whole deployment in one process.
 type devCommand struct {
 	options  dev.Options
 	logLevel string
+	trace    string
 }
 
 // Name implements subcommands.Command.
@@ -25,7 +28,7 @@
 
 // Usage implements subcommands.Command.
 func (*devCommand) Usage() string {
-	return `dev [-example dakar|serra-sul] [-listen HOST:PORT]:
+	return `dev [-example dakar|serra-sul] [-listen HOST:PORT] [-trace FILE]:
   Runs stand-ins for the platform and the backend servers and one VM for each
   failure domain on loopback. Prints "ready URL" and a curl line that works as
   pasted. Stops with SIGINT or SIGTERM.
@@ -39,6 +42,7 @@
 	fs.StringVar(&c.options.Listen, "listen", "127.0.0.1:0", "HOST:PORT of the callers' listener of the first VM")
 	fs.DurationVar(&c.options.RunTime, "run-time", 2*time.Millisecond, "time that a stand-in backend server takes for a request")
 	fs.IntVar(&c.options.WarmAfter, "warm-after", 20, "answers that end the cold start of a stand-in backend server")
+	fs.StringVar(&c.trace, "trace", "", "file to which every process of the deployment records events; empty for none")
 	fs.StringVar(&c.logLevel, "log-level", "warn", "debug, info, warn or error")
 }
 
@@ -62,15 +66,25 @@
 // Execute implements subcommands.Command.
 func (c *devCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	streams := streamsOf(args)
-	cluster, err := dev.Start(ctx, c.options)
+	sink, err := trace.CreateSink(c.trace)
 	if err != nil {
 		return fail(streams, err)
 	}
-	fmt.Fprintf(streams.Out, "ready http://%s\n%s\n", cluster.VMs[0].CallerAddress(), cluster.SampleCommand())
-	fmt.Fprintf(streams.Out, "operators: fireflyfield get Service -address %s\n", cluster.VMs[0].OperatorAddress())
-	<-ctx.Done()
-	if err := cluster.Stop(context.WithoutCancel(ctx)); err != nil {
+	c.options.Trace = sink
+	err = multierr.Append(c.run(ctx, streams), sink.Close())
+	if err != nil {
 		return fail(streams, err)
 	}
 	return subcommands.ExitSuccess
 }
+
+func (c *devCommand) run(ctx context.Context, streams Streams) error {
+	cluster, err := dev.Start(ctx, c.options)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(streams.Out, "ready http://%s\n%s\n", cluster.VMs[0].CallerAddress(), cluster.SampleCommand())
+	fmt.Fprintf(streams.Out, "operators: fireflyfield get Service -address %s\n", cluster.VMs[0].OperatorAddress())
+	<-ctx.Done()
+	return cluster.Stop(context.WithoutCancel(ctx))
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -6,8 +6,10 @@
 	"fmt"
 
 	"github.com/google/subcommands"
+	"github.com/google/uuid"
 	"go.uber.org/multierr"
 
+	"fireflyfield/internal/trace"
 	"fireflyfield/internal/vm"
 )
 
@@ -16,6 +18,7 @@
 	options   vm.Options
 	logLevel  string
 	logFormat string
+	trace     string
 }
 
 // Name implements subcommands.Command.
@@ -46,6 +49,7 @@
 	fs.StringVar(&o.OperatorToken, "operator-token", "", "token that operators send; needed unless -operator-listen is a loopback address")
 	fs.DurationVar(&o.StopTimeout, "stop-timeout", vm.DefaultStopTimeout, "longest time of a graceful stop")
 	fs.DurationVar(&o.LeaveDelay, "leave-delay", vm.DefaultLeaveDelay, "time between becoming unready and closing the callers' listener")
+	fs.StringVar(&c.trace, "trace", "", "file to which this VM records events; empty for none")
 	fs.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
 	fs.StringVar(&c.logFormat, "log-format", "json", "json or console")
 }
@@ -70,16 +74,31 @@
 // Execute implements subcommands.Command.
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	streams := streamsOf(args)
-	started, err := vm.Start(c.options)
+	sink, err := trace.CreateSink(c.trace)
+	if err != nil {
+		return fail(streams, err)
+	}
+	err = multierr.Append(c.run(ctx, sink, streams), sink.Close())
 	if err != nil {
 		return fail(streams, err)
 	}
+	return subcommands.ExitSuccess
+}
+
+func (c *serveCommand) run(ctx context.Context, sink *trace.Sink, streams Streams) error {
+	c.options.Instance = uuid.NewString()
+	writer, err := sink.Writer(c.options.TraceOptions())
+	if err != nil {
+		return err
+	}
+	c.options.Trace = writer
+	started, err := vm.Start(c.options)
+	if err != nil {
+		return err
+	}
 	if started.AwaitReady(ctx) == nil {
 		fmt.Fprintf(streams.Out, "ready http://%s peer=%s operator=%s\n", started.CallerAddress(), started.PeerAddress(), started.OperatorAddress())
 	}
 	<-ctx.Done()
-	if err := started.Stop(context.WithoutCancel(ctx)); err != nil {
-		return fail(streams, err)
-	}
-	return subcommands.ExitSuccess
+	return started.Stop(context.WithoutCancel(ctx))
 }
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -10,9 +10,13 @@
 
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
+	"github.com/google/uuid"
+	"go.uber.org/multierr"
 
+	"fireflyfield/internal/resource"
 	backendstandin "fireflyfield/internal/standin/backend"
 	platformstandin "fireflyfield/internal/standin/platform"
+	"fireflyfield/internal/trace"
 )
 
 // standinCommand runs one stand-in of an outside system.
@@ -20,6 +24,8 @@
 	listen   string
 	platform platformstandin.Options
 	backend  backendstandin.Options
+	key      resource.KeySource
+	trace    string
 }
 
 // Name implements subcommands.Command.
@@ -46,6 +52,10 @@
 	fs.StringVar(&c.backend.Name, "server", "", "backend: name of the backend server")
 	fs.BoolVar(&c.backend.Keyed, "keyed", false, "backend: the service is divided by key")
 	fs.BoolVar(&c.backend.ChecksGrants, "checks-grants", false, "backend: refuse requests without a grant in force")
+	fs.StringVar(&c.backend.FailureDomain, "failure-domain", "", "backend: failure domain; needed with -trace")
+	fs.IntVar(&c.key.PathSegment, "key-segment", 1, "backend: path segment that holds the owned key, for -trace")
+	fs.StringVar(&c.key.Header, "key-header", "", "backend: header that holds the owned key instead, for -trace")
+	fs.StringVar(&c.trace, "trace", "", "backend: file to which events are recorded; empty for none")
 	fs.IntVar(&c.backend.Slots, "slots", 4, "backend: requests that run at once when warm")
 	fs.DurationVar(&c.backend.RunTime, "run-time", 2*time.Millisecond, "backend: time that a request takes")
 	fs.IntVar(&c.backend.WarmAfter, "warm-after", 20, "backend: answers that end a cold start")
@@ -59,6 +69,10 @@
 		return []string{"the one argument is platform or backend"}
 	case fs.Arg(0) == "backend" && (c.backend.Service == "" || c.backend.Name == ""):
 		return []string{"-service and -server are needed"}
+	case c.trace != "" && (fs.Arg(0) != "backend" || c.backend.FailureDomain == ""):
+		return []string{"-trace is for a backend and needs -failure-domain"}
+	case c.key.PathSegment < 1:
+		return []string{"-key-segment counts from 1"}
 	default:
 		return nil
 	}
@@ -66,16 +80,33 @@
 
 // Execute implements subcommands.Command.
 func (c *standinCommand) Execute(ctx context.Context, fs *flag.FlagSet, args ...any) subcommands.ExitStatus {
-	var handler http.Handler = platformstandin.New(c.platform)
-	if fs.Arg(0) == "backend" {
-		handler = backendstandin.New(c.backend)
+	streams := streamsOf(args)
+	sink, err := trace.CreateSink(c.trace)
+	if err != nil {
+		return fail(streams, err)
 	}
-	if err := serveStandin(ctx, c.listen, handler, streamsOf(args)); err != nil {
-		return fail(streamsOf(args), err)
+	err = multierr.Append(c.run(ctx, fs.Arg(0), sink, streams), sink.Close())
+	if err != nil {
+		return fail(streams, err)
 	}
 	return subcommands.ExitSuccess
 }
 
+func (c *standinCommand) run(ctx context.Context, kind string, sink *trace.Sink, streams Streams) error {
+	if kind == "platform" {
+		return serveStandin(ctx, c.listen, platformstandin.New(c.platform), streams)
+	}
+	if c.backend.Keyed {
+		c.backend.KeyOf = backendstandin.KeyOf(c.key)
+	}
+	writer, err := sink.Writer(c.backend.TraceOptions(uuid.NewString()))
+	if err != nil {
+		return err
+	}
+	c.backend.Trace = writer
+	return serveStandin(ctx, c.listen, backendstandin.New(c.backend), streams)
+}
+
 // serveStandin answers requests until the context ends.
 func serveStandin(ctx context.Context, address string, handler http.Handler, streams Streams) error {
 	socket, err := net.Listen("tcp", address)
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -21,6 +21,7 @@
 	"fireflyfield/internal/resource"
 	backendstandin "fireflyfield/internal/standin/backend"
 	platformstandin "fireflyfield/internal/standin/platform"
+	"fireflyfield/internal/trace"
 	"fireflyfield/internal/vm"
 )
 
@@ -37,6 +38,9 @@
 	WarmAfter int
 	// LeaveDelay is passed on to the VMs.
 	LeaveDelay time.Duration
+	// Trace is the file of every recorder of the deployment; nil for none. Whoever
+	// made it closes it after Stop.
+	Trace *trace.Sink
 }
 
 // Cluster is a running deployment.
@@ -49,6 +53,8 @@
 	resources resource.Set
 	servers   []*http.Server
 	platform  string
+	// revisions holds that of each resource as the driver of the deployment wrote it.
+	revisions map[resource.ID]uint64
 }
 
 // Exists reports whether there is an example of the name.
@@ -65,9 +71,10 @@
 		options.Logger = zap.NewNop()
 	}
 	c := &Cluster{
-		Platform: platformstandin.New(platformstandin.Options{}),
-		Backends: make(map[string]*backendstandin.Server),
-		options:  options,
+		Platform:  platformstandin.New(platformstandin.Options{}),
+		Backends:  make(map[string]*backendstandin.Server),
+		options:   options,
+		revisions: make(map[resource.ID]uint64),
 	}
 	if err := c.start(ctx); err != nil {
 		return nil, multierr.Append(err, c.Stop(ctx))
@@ -127,15 +134,10 @@
 			continue
 		}
 		for i, server := range spec.BackendServers {
-			standin := backendstandin.New(backendstandin.Options{
-				Service:      r.Metadata.Name,
-				Name:         server.Name,
-				Keyed:        spec.Keyed(),
-				ChecksGrants: spec.ChecksGrants,
-				Slots:        spec.Slots,
-				RunTime:      c.options.RunTime,
-				WarmAfter:    c.options.WarmAfter,
-			})
+			standin, err := c.newBackend(r.Metadata.Name, spec, server)
+			if err != nil {
+				return err
+			}
 			socket, err := c.serve("127.0.0.1:0", standin)
 			if err != nil {
 				return err
@@ -147,6 +149,25 @@
 	return nil
 }
 
+func (c *Cluster) newBackend(service string, spec *resource.ServiceSpec, server resource.BackendServer) (*backendstandin.Server, error) {
+	options := backendstandin.Options{
+		Service:       service,
+		Name:          server.Name,
+		FailureDomain: server.FailureDomain,
+		Keyed:         spec.Keyed(),
+		ChecksGrants:  spec.ChecksGrants,
+		Slots:         spec.Slots,
+		RunTime:       c.options.RunTime,
+		WarmAfter:     c.options.WarmAfter,
+	}
+	if spec.Keyed() {
+		options.KeyOf = backendstandin.KeyOf(*spec.Key)
+	}
+	writer, err := c.options.Trace.Writer(options.TraceOptions(uuid.NewString()))
+	options.Trace = writer
+	return backendstandin.New(options), err
+}
+
 // publish appends the example to the configuration stream as one change.
 func (c *Cluster) publish(ctx context.Context) error {
 	changes := make([]config.Change, 0, len(c.resources))
@@ -157,13 +178,10 @@
 		}
 		changes = append(changes, change)
 	}
-	data, err := config.Encode(config.NewRecord(uuid.New(), 0, changes...))
-	if err != nil {
-		return errors.Wrap(err, "encode example")
+	offset, err := c.append(ctx, changes...)
+	for _, r := range c.resources {
+		c.revisions[r.ID()] = offset
 	}
-	client := platform.NewClient(c.platform)
-	defer client.Close()
-	_, err = client.Append(ctx, config.Stream, data)
 	return err
 }
 
@@ -183,7 +201,8 @@
 
 // AddVM starts a further VM and puts it on the platform's list.
 func (c *Cluster) AddVM(name, domain, listen string) (*vm.VM, error) {
-	started, err := vm.Start(vm.Options{
+	options := vm.Options{
+		Instance:       uuid.NewString(),
 		Name:           name,
 		FailureDomain:  domain,
 		CallerListen:   listen,
@@ -192,7 +211,13 @@
 		Platform:       c.platform,
 		LeaveDelay:     c.options.LeaveDelay,
 		Logger:         c.options.Logger,
-	})
+	}
+	writer, err := c.options.Trace.Writer(options.TraceOptions())
+	if err != nil {
+		return nil, err
+	}
+	options.Trace = writer
+	started, err := vm.Start(options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -94,14 +94,16 @@
 // start makes one attempt in the background.
 func (d *Dispatcher) start(ctx context.Context, p *progress, route Route, results chan<- result) context.CancelFunc {
 	ctx, stop := context.WithCancel(ctx)
+	p.numbered++
+	number := p.numbered
 	go func() {
-		resp, failure := send(ctx, p.request, route)
+		resp, failure := send(ctx, p.request, route, number)
 		results <- result{resp: resp, failure: failure, route: route, stop: stop}
 	}()
 	return stop
 }
 
-func send(ctx context.Context, r *Request, route Route) (*backend.Response, *backend.Failure) {
+func send(ctx context.Context, r *Request, route Route, number uint32) (*backend.Response, *backend.Failure) {
 	start := time.Now()
 	resp, err := route.Gate.Send(ctx, peer.Attempt{
 		Service:    r.Service,
@@ -114,12 +116,14 @@
 		Workspace:  r.Workspace,
 		DeadlineMs: r.Deadline.UnixMilli(),
 		Idempotent: r.Idempotent(),
+		Number:     number,
 		Method:     r.Method,
 		Target:     r.Target,
 		Header:     r.Header,
 		Body:       r.Body,
 	})
 	if err == nil {
+		resp.Attempt = number
 		resp.Body = &reportedBody{body: resp.Body, route: route, start: start}
 		return resp, nil
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,6 +160,9 @@
 	tried   []string
 	// attempts counts those that a gate admitted or a backend server refused.
 	attempts int
+	// numbered is the number of the latest attempt, hedges included. Attempts are
+	// numbered where they are started, by the goroutine of the request.
+	numbered uint32
 	// unknown is set once an attempt may have run the request.
 	unknown bool
 	// giveUpRoutes is the time from which a stale route is not waited out.
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -19,6 +19,9 @@
 	unit     uint64
 	ctx      context.Context
 	now      Clock
+	recorder Recorder
+	attempt  peer.Attempt
+	status   int
 	start    time.Time
 	instance string
 	done     sync.Once
@@ -26,8 +29,10 @@
 
 func (r *run) send(attempt peer.Attempt, owner Owner) (*backend.Response, error) {
 	r.start = r.now()
+	r.recordSending(owner)
 	resp, err := r.entry.client.Send(r.ctx, backend.Request{
 		ID:         attempt.RequestID,
+		Attempt:    attempt.Number,
 		Workspace:  attempt.Workspace,
 		Method:     attempt.Method,
 		Target:     attempt.Target,
@@ -42,10 +47,12 @@
 	if err != nil {
 		failure := err.(*backend.Failure)
 		r.instance = failure.Instance
+		r.recordFailed(failure)
 		r.observe(resultOf(r.ctx, failure))
 		return nil, failure
 	}
 	r.instance = resp.Instance
+	r.status = resp.Status
 	resp.Body = &observedBody{body: resp.Body, run: r}
 	return resp, nil
 }
@@ -57,6 +64,7 @@
 // finish frees the slot and the unit; further calls have no effect.
 func (r *run) finish(observation admission.Observation) {
 	r.done.Do(func() {
+		r.recordEnd(observation.Result)
 		r.ticket.Done(observation)
 		if r.keyed {
 			r.entry.units.end(r.unit)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fireflyfield/internal/admission"
@@ -39,6 +40,10 @@
 
 // Set holds the gates of this VM. It is safe for concurrent use.
 type Set struct {
+	// Recorder is told of attempts; nil for none. It must be set before the first
+	// use of the set.
+	Recorder Recorder
+
 	owners Owners
 	now    Clock
 
@@ -50,9 +55,12 @@
 type entry struct {
 	address string
 	slots   int
-	gate    *admission.Gate
-	client  *backend.Client
-	units   *unitGuard
+	// domain is the failure domain of the backend server.
+	domain   string
+	inFlight atomic.Int64
+	gate     *admission.Gate
+	client   *backend.Client
+	units    *unitGuard
 }
 
 // NewSet returns a set without gates.
@@ -114,6 +122,7 @@
 	}
 	return &entry{
 		address: server.Address,
+		domain:  domainOf(server),
 		slots:   spec.Slots,
 		gate:    gate,
 		client:  backend.NewClient(server.Address, spec.Connections),
@@ -190,7 +199,7 @@
 		ticket.Done(admission.Observation{Result: admission.Abandoned})
 		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "moved"}
 	}
-	run := &run{entry: existing, ticket: ticket, keyed: attempt.Keyed, unit: owner.Unit, ctx: ctx, now: s.now}
+	run := &run{entry: existing, ticket: ticket, keyed: attempt.Keyed, unit: owner.Unit, ctx: ctx, now: s.now, recorder: s.Recorder, attempt: attempt}
 	if refusal := ticket.MaySend(); refusal.Refused() {
 		run.finish(admission.Observation{Result: admission.Abandoned})
 		return nil, refused(refusal)
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -48,6 +48,8 @@
 	Workspace  string `cbor:"8,keyasint"`
 	DeadlineMs int64  `cbor:"9,keyasint"`
 	Idempotent bool   `cbor:"10,keyasint,omitempty"`
+	// Number counts the attempts of one request from 1, hedges included.
+	Number uint32 `cbor:"11,keyasint,omitempty"`
 
 	Method string      `cbor:"-"`
 	Target string      `cbor:"-"`
--- /dev/null
+++ b/internal/recording/callers.go
@@ -0,0 +1,82 @@
+package recording
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyfield/internal/caller"
+	"fireflyfield/internal/dispatch"
+	"fireflyfield/internal/keyspace"
+	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/trace"
+)
+
+// Callers records requests of callers. It is safe for concurrent use.
+type Callers struct{ Writer *trace.Writer }
+
+var _ caller.Recorder = Callers{}
+
+// Received implements caller.Recorder.
+func (c Callers) Received(r *dispatch.Request, arrival caller.Arrival) {
+	event := trace.Request{
+		Request:        r.ID,
+		Workspace:      r.Workspace,
+		Service:        r.Service,
+		Method:         r.Method,
+		Path:           arrival.Path,
+		IdempotencyKey: hashOf(r.IdempotencyKey),
+		Idempotent:     r.Spec != nil && r.Idempotent(),
+		BodyBytes:      arrival.BodyBytes,
+	}
+	if arrival.Token != "" {
+		event.CallerKey = trace.DigestOf([]byte(arrival.Token))
+	}
+	if r.Key != "" {
+		event.Key = trace.Hash(keyspace.HashKey(r.Service, r.Key))
+	}
+	c.Writer.Record(event)
+}
+
+func hashOf(value string) trace.Hash {
+	if value == "" {
+		return 0
+	}
+	return trace.Hash(xxhash.Sum64String(value))
+}
+
+// Admitted implements caller.Recorder.
+func (c Callers) Admitted(r *dispatch.Request) {
+	c.Writer.Record(trace.Admitted{Request: r.ID, Workspace: r.Workspace})
+}
+
+// Finished implements caller.Recorder.
+func (c Callers) Finished(r *dispatch.Request, sent caller.Sent) {
+	event := trace.Answer{
+		Request: r.ID,
+		Attempt: sent.Attempt,
+		Outcome: trace.Ran,
+		Status:  sent.Answer.Status,
+		Bytes:   sent.Bytes,
+		Digest:  trace.Hash(sent.Digest),
+		// A rate refusal is judged from the whole trace, since one VM does not see
+		// what the others admitted.
+		InsideRate: sent.Admitted,
+		Aborted:    sent.Answer.Cut,
+	}
+	if refusal := sent.Answer.Refusal; refusal != nil {
+		event.Outcome = Outcome(refusal.Kind)
+		event.Reason = Refusal(refusal.Reason)
+	}
+	if sent.Answer.Cut {
+		event.Outcome = Outcome(outcome.Unknown)
+		event.Reason = cutReasons[sent.Cause]
+	}
+	c.Writer.Record(event)
+}
+
+// cutReasons maps the cause of a cut answer to the reason of the trace.
+var cutReasons = map[caller.CutCause]trace.Refusal{
+	caller.CutByRouter:   trace.RefusedOther,
+	caller.CutByCaller:   trace.RefusedCallerGone,
+	caller.CutAtDeadline: trace.RefusedDeadline,
+	caller.CutByKey:      trace.RefusedUnauthenticated,
+}
--- /dev/null
+++ b/internal/recording/words.go
@@ -0,0 +1,60 @@
+package recording
+
+import (
+	"fireflyfield/internal/backend"
+	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/trace"
+)
+
+// refusals maps the reasons of refusals and failures to those of the trace.
+var refusals = map[string]trace.Refusal{
+	"rate-exceeded":        trace.RefusedRate,
+	"rate":                 trace.RefusedRate,
+	"no-caller-key":        trace.RefusedUnauthenticated,
+	"unknown-caller-key":   trace.RefusedUnauthenticated,
+	"withdrawn-caller-key": trace.RefusedUnauthenticated,
+	"caller-key-withdrawn": trace.RefusedUnauthenticated,
+	"forbidden":            trace.RefusedForbidden,
+	"service-not-allowed":  trace.RefusedForbidden,
+	"stale-caller-keys":    trace.RefusedStaleKeys,
+	"stale-keys":           trace.RefusedStaleKeys,
+	"no-service":           trace.RefusedBadRequest,
+	"unknown-service":      trace.RefusedBadRequest,
+	"no-key":               trace.RefusedBadRequest,
+	"bad-request":          trace.RefusedBadRequest,
+	"incomplete-body":      trace.RefusedBadRequest,
+	"body-too-large":       trace.RefusedTooLarge,
+	"idempotency-mismatch": trace.RefusedIdempotencyMismatch,
+	"idempotency-full":     trace.RefusedIdempotencyFull,
+	"idempotency-holder":   trace.RefusedIdempotencyHolder,
+	"cancelled":            trace.RefusedCallerGone,
+	"queue-full":           trace.RefusedQueueFull,
+	"deadline-too-close":   trace.RefusedDeadline,
+	backend.ReasonDeadline: trace.RefusedDeadline,
+	"no-owner":             trace.RefusedNoOwner,
+	"moved":                trace.RefusedNoOwner,
+	"not-gate":             trace.RefusedNoOwner,
+	"no-lease":             trace.RefusedNoOwner,
+	"gate-unknown":         trace.RefusedNoOwner,
+	"gate-unreachable":     trace.RefusedUnreachable,
+	"gate-lost":            trace.RefusedUnreachable,
+	"connect":              trace.RefusedUnreachable,
+	"connection-lost":      trace.RefusedUnreachable,
+	"overloaded":           trace.RefusedLoadShed,
+	backend.ReasonShed:     trace.RefusedLoadShed,
+	backend.ReasonFence:    trace.RefusedFence,
+	backend.ReasonDraining: trace.RefusedDraining,
+	"leaving":              trace.RefusedStopping,
+	"stopping":             trace.RefusedStopping,
+}
+
+// Refusal returns the reason of the trace for one of the system.
+func Refusal(reason string) trace.Refusal {
+	if known, ok := refusals[reason]; ok {
+		return known
+	}
+	return trace.RefusedOther
+}
+
+// Outcome returns the outcome of the trace for one of the system.
+func Outcome(kind outcome.Kind) trace.Outcome { return trace.Outcome(kind.String()) }
--- a/internal/standin/backend/control.go
+++ b/internal/standin/backend/control.go
@@ -81,6 +81,7 @@
 		// The answer proves to the new decider that no earlier one is obeyed.
 		s.grants.term = req.Term
 	default:
+		s.recordGrantsLocked(req, now)
 		s.grants.apply(req, now)
 	}
 	writeJSON(w, status, s.grantReplyLocked(now))
@@ -135,6 +136,7 @@
 func (s *Server) handleDrain(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	s.draining = true
+	s.recordStateLocked()
 	s.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -142,9 +144,10 @@
 func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cancelled, ok := s.inFlight[r.PathValue("id")]; ok {
-		close(cancelled)
-		delete(s.inFlight, r.PathValue("id"))
+	if running, ok := s.inFlight[r.PathValue("id")]; ok {
+		close(running.cancelled)
+		delete(s.inFlight, running.id)
+		s.recordCancelLocked(running)
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -17,6 +17,7 @@
 
 	protocol "fireflyfield/internal/backend"
 	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/trace"
 )
 
 // Options configure a stand-in.
@@ -35,6 +36,13 @@
 	WarmAfter int
 	// LoadLag delays the load report.
 	LoadLag time.Duration
+	// FailureDomain is needed for a trace only.
+	FailureDomain string
+	// KeyOf returns the owned key of a request for a trace; nil for a service that is
+	// not divided by key.
+	KeyOf func(*http.Request) string
+	// Trace records events; nil for none. Whoever made it closes it.
+	Trace *trace.Writer
 	// OnRun, if set, is told of each request that ran.
 	OnRun func(Run)
 }
@@ -92,7 +100,7 @@
 	// epoch ends when the instance is replaced, which cuts its running requests.
 	epoch    chan struct{}
 	grants   grantTable
-	inFlight map[string]chan struct{}
+	inFlight map[string]admission
 	answered int
 	crashes  int
 
@@ -100,6 +108,8 @@
 	faults   Faults
 	runs     []Run
 	report   laggingReport
+	// recordedState is the one that the trace has.
+	recordedState trace.ServerState
 }
 
 // New returns a stand-in in cold start.
@@ -125,12 +135,16 @@
 	if s.epoch != nil {
 		close(s.epoch)
 	}
+	for _, running := range s.inFlight {
+		s.recordCancelLocked(running)
+	}
 	s.instance = uuid.NewString()
 	s.epoch = make(chan struct{})
 	s.grants = newGrantTable()
-	s.inFlight = make(map[string]chan struct{})
+	s.inFlight = make(map[string]admission)
 	s.answered = 0
 	s.draining = false
+	s.recordStateLocked()
 }
 
 // Restart replaces the instance, as a crash followed by a start would.
@@ -208,6 +222,8 @@
 // admission is what one request needs to run and to finish.
 type admission struct {
 	id        string
+	attempt   uint32
+	headOnly  bool
 	instance  string
 	epoch     chan struct{}
 	cancelled chan struct{}
@@ -226,12 +242,14 @@
 		return
 	}
 	if !s.wait(r, admitted) {
-		s.finish(admitted)
+		s.cancel(admitted)
 		panic(http.ErrAbortHandler)
 	}
 	answer := s.answer(r, admitted, body)
 	s.record(r, admitted, start, answer)
-	s.finish(admitted)
+	if !s.finish(admitted, answer) {
+		panic(http.ErrAbortHandler)
+	}
 	writeAnswer(w, admitted, answer)
 }
 
@@ -240,6 +258,9 @@
 	defer s.mu.Unlock()
 	w.Header().Set(protocol.HeaderInstance, s.instance)
 	reason, status := s.refusalLocked(r)
+	if reason != "" {
+		s.recordRefusalLocked(r, reason)
+	}
 	if reason == protocol.ReasonShed && s.answered < s.options.WarmAfter {
 		// A cold backend server falls over under more than it bears.
 		s.crashes++
@@ -255,13 +276,16 @@
 	slow := max(1, s.faults.SlowFactor)
 	admitted := admission{
 		id:        r.Header.Get(protocol.HeaderRequestID),
+		attempt:   attemptOf(r),
+		headOnly:  r.Method == http.MethodHead,
 		instance:  s.instance,
 		epoch:     s.epoch,
 		cancelled: make(chan struct{}),
 		runTime:   time.Duration(float64(s.options.RunTime) * slow),
 		cutAfter:  s.faults.CutAfterBytes,
 	}
-	s.inFlight[admitted.id] = admitted.cancelled
+	s.inFlight[admitted.id] = admitted
+	s.recordStartLocked(r, admitted)
 	return admitted, true
 }
 
@@ -281,14 +305,35 @@
 	}
 }
 
-func (s *Server) finish(a admission) {
+// finish frees the slot of a run whose answer is complete. It returns false when
+// the run was cancelled before.
+func (s *Server) finish(a admission, answer []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.instance != a.instance {
-		return
+	if !s.runningLocked(a) {
+		return false
 	}
 	delete(s.inFlight, a.id)
+	s.recordEndLocked(a, answer)
 	s.answered++
+	s.recordStateLocked()
+	return true
+}
+
+// cancel frees the slot of a run that ended early.
+func (s *Server) cancel(a admission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.runningLocked(a) {
+		return
+	}
+	delete(s.inFlight, a.id)
+	s.recordCancelLocked(a)
+}
+
+func (s *Server) runningLocked(a admission) bool {
+	running, ok := s.inFlight[a.id]
+	return ok && running.cancelled == a.cancelled
 }
 
 func (s *Server) answer(r *http.Request, a admission, body []byte) []byte {
--- a/internal/vm/options.go
+++ b/internal/vm/options.go
@@ -14,6 +14,8 @@
 	"github.com/google/uuid"
 	"go.uber.org/multierr"
 	"go.uber.org/zap"
+
+	"fireflyfield/internal/trace"
 )
 
 // Options configure a VM.
@@ -47,6 +49,8 @@
 	Workers int
 
 	Logger *zap.Logger
+	// Trace records events; nil for none. Whoever made it closes it after Stop.
+	Trace *trace.Writer
 }
 
 // Defaults and limits of options.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -20,6 +20,7 @@
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/platform"
 	"fireflyfield/internal/snapshot"
+	"fireflyfield/internal/trace"
 )
 
 // snapshotPolicy keeps the tail that a new VM replays short; the platform retains
@@ -86,6 +87,7 @@
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
 	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow)
+	v.recordAttempts()
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
 	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
@@ -98,6 +100,7 @@
 
 func (v *VM) listen() error {
 	handler := caller.New(v.authenticator(), v.limiter(), services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
+	v.recordCallers(handler)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
 	v.registerHandlers(control)
 	peerMux := http.NewServeMux()
@@ -133,6 +136,7 @@
 	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
 	v.background.Go(func() { v.roles.run(ctx) })
 	v.background.Go(func() { v.followConfig(ctx) })
+	v.background.Go(func() { v.recordConfig(ctx) })
 	v.background.Go(func() { v.exchange(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
@@ -179,6 +183,8 @@
 		return ErrStopping
 	}
 	v.logger.Info("stopping")
+	v.recordStop(trace.Begin)
+	defer v.recordStop(trace.Finished)
 	ctx, cancel := context.WithTimeout(ctx, v.options.StopTimeout)
 	defer cancel()
 	sleep(ctx, v.options.LeaveDelay)
