--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"fireflyfield/internal/backend"
+	"fireflyfield/internal/callerkey"
 	"fireflyfield/internal/dispatch"
 )
 
@@ -48,7 +49,7 @@
 	Cause CutCause
 }
 
-// Recorder is told of every request that names a service, for a trace.
+// Recorder is told of every request for an existing service, for a trace.
 type Recorder interface {
 	// Received is called after authentication, whatever its result.
 	Received(r *dispatch.Request, arrival Arrival)
@@ -70,10 +71,15 @@
 	body      *digestBody
 }
 
+// record starts to follow a request. A request for a service that does not exist
+// is not recorded, because what stands in its place can be a caller key.
 func (h *Handler) record(r *http.Request, request *dispatch.Request) *recording {
 	if h.Recorder == nil {
 		return nil
 	}
+	if _, ok := h.Services.Service(request.Service); !ok {
+		return nil
+	}
 	return &recording{recorder: h.Recorder, request: request, caller: r}
 }
 
@@ -83,7 +89,17 @@
 	}
 	r.received = true
 	r.withdrawn = identity.Withdrawn
-	r.recorder.Received(r.request, Arrival{Path: r.caller.URL.EscapedPath(), Token: token, BodyBytes: r.caller.ContentLength})
+	r.recorder.Received(r.request, Arrival{Path: r.path(token), Token: token, BodyBytes: r.caller.ContentLength})
+}
+
+// path leaves out what follows the service where it holds the caller key, or where
+// it could be one because the request carries none in its place.
+func (r *recording) path(token string) string {
+	path := r.caller.URL.EscapedPath()
+	if token == "" || callerkey.Carries(path, token) {
+		return "/" + r.request.Service
+	}
+	return path
 }
 
 func (r *recording) admit() {
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -16,7 +16,7 @@
 // reportCommand reports the service-level burn of a trace, or the capacity that
 // follows from benchmark results.
 type reportCommand struct {
-	traces   bool
+	trace    string
 	capacity string
 	output   string
 	step     time.Duration
@@ -42,7 +42,7 @@
 
 // SetFlags implements subcommands.Command.
 func (c *reportCommand) SetFlags(fs *flag.FlagSet) {
-	fs.BoolVar(&c.traces, "trace", false, "report the service-level burn of the files")
+	fs.StringVar(&c.trace, "trace", "", "file whose service-level burn is reported; further files may follow")
 	fs.StringVar(&c.capacity, "capacity", "", "file with the output of go test -bench")
 	fs.DurationVar(&c.step, "step", report.DefaultStep, "with -trace: length of one sample")
 	fs.StringVar(&c.output, "o", "text", "with -trace: text or json")
@@ -51,11 +51,11 @@
 // Check implements Checker.
 func (c *reportCommand) Check(fs *flag.FlagSet) []string {
 	var faults []string
-	if c.traces == (c.capacity != "") {
+	if (c.trace == "") == (c.capacity == "") {
 		faults = append(faults, "exactly one of -trace and -capacity is needed")
 	}
-	if c.traces != (fs.NArg() > 0) {
-		faults = append(faults, "-trace needs files as arguments; -capacity takes none")
+	if c.capacity != "" && fs.NArg() > 0 {
+		faults = append(faults, "-capacity takes no arguments")
 	}
 	if c.output != "text" && c.output != "json" {
 		faults = append(faults, fmt.Sprintf("-o: %q is neither text nor json", c.output))
@@ -80,7 +80,7 @@
 }
 
 func (c *reportCommand) runBurn(files []string, streams Streams) error {
-	events, err := readTraces(files, streams)
+	events, err := readTraces(append([]string{c.trace}, files...), streams)
 	if err != nil {
 		return err
 	}
--- a/internal/quota/faults_test.go
+++ b/internal/quota/faults_test.go
@@ -62,6 +62,7 @@
 	for seed := range uint64(4) {
 		for _, limit := range []Limit{{Rate: 200, Burst: 60}, {Rate: 30, Burst: 7}} {
 			t.Run(fmt.Sprintf("seed%d/burst%d", seed, limit.Burst), func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				s := newSim(seed, DefaultPolicy, map[string]Limit{"w0": limit}, []int{3, 3, 2}, 0.01)
 				s.loss, s.repeat = 0.05, 0.1
@@ -80,6 +81,7 @@
 // Guards against the old burst being kept or exceeded when the rate changes while
 // tokens are lent.
 func TestBoundWhileRateChanges(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	high, low := Limit{Rate: 400, Burst: 100}, Limit{Rate: 40, Burst: 10}
 	s := newSim(3, DefaultPolicy, map[string]Limit{"w0": high}, []int{3, 3}, 0)
@@ -159,3 +161,15 @@
 		}
 	}
 }
+
+// Guards against refusing in a failure domain whose part of a small burst is zero,
+// or to a VM that has its share of the own bucket while other domains have tokens.
+func TestDomainWithoutPartDraws(t *testing.T) {
+	is := is.New(t)
+	s := newSim(5, DefaultPolicy, map[string]Limit{"w0": {Rate: 10, Burst: 2}}, []int{1, 1, 1, 1}, 0)
+	s.run(3 * time.Second)
+	for i := range 40 {
+		is.Equal(s.decide(s.vms[i%4]).Outcome, Granted)
+		s.run(s.now + 400*time.Millisecond)
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/caller"
+	"fireflyfield/internal/callerkey"
 	"fireflyfield/internal/config"
 	"fireflyfield/internal/dispatch"
 	"fireflyfield/internal/gate"
@@ -23,10 +24,6 @@
 	"fireflyfield/internal/trace"
 )
 
-// snapshotPolicy keeps the tail that a new VM replays short; the platform retains
-// records for longer than an hour.
-var snapshotPolicy = snapshot.Policy{Records: 1000, Age: time.Hour, MaxDelay: 30 * time.Second}
-
 // VM is one running VM.
 type VM struct {
 	options  Options
@@ -41,12 +38,16 @@
 	calls    *peer.Client
 	control  *control
 	roles    *roles
+	keyring  *callerkey.Keyring
+	quotas   *quotas
 	assigner *assigner
 
 	callers   *listener
 	peers     *listener
 	operators *listener
 
+	// mapSeen is the time of the first map of this failure domain, in Unix ns.
+	mapSeen    atomic.Int64
 	stopping   atomic.Bool
 	background sync.WaitGroup
 	stopWork   context.CancelFunc
@@ -88,6 +89,8 @@
 	v.control = newControl(v.follower.State().View)
 	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow)
 	v.recordAttempts()
+	v.keyring = callerkey.NewKeyring(time.Now())
+	v.quotas = newQuotas(v)
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
 	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
@@ -99,7 +102,7 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (v *VM) listen() error {
-	handler := caller.New(v.authenticator(), v.limiter(), services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
+	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
 	v.recordCallers(handler)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
 	v.registerHandlers(control)
@@ -132,12 +135,14 @@
 func (v *VM) startBackground(ctx context.Context) {
 	v.background.Go(func() { v.fleet.follow(ctx, v.platform, v.logger) })
 	v.background.Go(func() { _ = v.follower.Run(ctx) }) // ends with the context only
-	snapshotter := config.NewSnapshotter(v.platform, v.follower, snapshotPolicy, v.logger, newRandom())
+	snapshotter := config.NewSnapshotter(v.platform, v.follower, snapshot.DefaultPolicy, v.logger, newRandom())
 	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
 	v.background.Go(func() { v.roles.run(ctx) })
 	v.background.Go(func() { v.followConfig(ctx) })
 	v.background.Go(func() { v.recordConfig(ctx) })
 	v.background.Go(func() { v.exchange(ctx) })
+	v.background.Go(func() { v.confirmKeys(ctx) })
+	v.background.Go(func() { v.quotas.run(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
 	}
@@ -154,6 +159,8 @@
 		view := v.follower.State().View()
 		v.assigner.enqueue(ctx, ownership.ConfigChanged{Config: ownershipConfig(view, v.options.FailureDomain)})
 		v.unkeyed.update(view)
+		v.updateKeys(view)
+		v.quotas.update(view)
 		v.router.notify()
 		select {
 		case <-changed:
@@ -163,6 +170,9 @@
 	}
 }
 
+// FailureDomain returns the failure domain of the VM.
+func (v *VM) FailureDomain() string { return v.options.FailureDomain }
+
 // CallerAddress returns HOST:PORT of the callers' listener.
 func (v *VM) CallerAddress() string { return v.callers.address() }
 
@@ -189,7 +199,7 @@
 	defer cancel()
 	sleep(ctx, v.options.LeaveDelay)
 	err := v.callers.shutdown(ctx)
-	if len(v.fleet.inDomain(v.options.FailureDomain)) > 1 && !v.assigner.requestStop(ctx) {
+	if v.fleet.hasSuccessor(v.options.FailureDomain, v.options.Name) && !v.assigner.requestStop(ctx) {
 		v.logger.Warn("duties of this VM did not move before the stop timeout")
 	}
 	v.stopWork()
