--- /dev/null
+++ b/internal/ownership/capacity_test.go
@@ -0,0 +1,72 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fireflyfield/internal/capacity/statesize"
+	"fireflyfield/internal/keyspace"
+)
+
+// filledTable returns a table of one domain with the slices of one service.
+func filledTable(slices int) *Table {
+	table := NewTable()
+	homes := NewHomes()
+	homes.Apply(1, Record{Init: &Init{Service: "s", Slices: uint32(slices), Domains: []string{"d"}}})
+	table.UpdateHomes(homes)
+	units := make(map[keyspace.Unit]Assignment, slices)
+	for i := range keyspace.Unit(slices) {
+		units[i] = Assignment{Server: "backend", Token: Token{Term: 1, Counter: uint64(i)}}
+	}
+	table.UpdateDomain(DomainMap{Domain: "d", Services: map[string]ServiceMap{"s": {Units: units}}})
+	return table
+}
+
+// BenchmarkOwnershipTable measures the memory of the read side.
+func BenchmarkOwnershipTable(b *testing.B) {
+	for _, units := range []int{4096, 16384, 65536} {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			statesize.Report(b, func() any { return filledTable(units) })
+		})
+	}
+}
+
+// BenchmarkRoute measures the lookup of one request's key at 65,536 slices.
+func BenchmarkRoute(b *testing.B) {
+	table := filledTable(65536)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Lookup("s", "some-key")
+	}
+}
+
+// BenchmarkHeartbeat measures encoding and decoding of a heartbeat with the roles
+// of a member and of its reply, without the work of the decision logic.
+func BenchmarkHeartbeat(b *testing.B) {
+	var roles []Role
+	for i := range 12 {
+		roles = append(roles, Role{Kind: RoleGate, Service: "entretien", Name: fmt.Sprintf("entretien-%d", i)})
+	}
+	member := Member{VM: "vm-plateau", Instance: "5d2b8a4e-7a51-4d1c-9a5b-0d3f5f1c2b3a"}
+	heartbeat := Heartbeat{Term: 1 << 20, From: member, To: member, Seq: 1 << 20, SentAt: time.Hour, Roles: roles, Echo: time.Hour, Expires: time.Hour}
+	reply := HeartbeatReply{Term: 1 << 20, From: member, Seq: 1 << 20, SentAt: time.Hour, Now: time.Hour, Roles: roles}
+	bytes := 0
+	for b.Loop() {
+		bytes = roundTrip(b, heartbeat, &Heartbeat{}) + roundTrip(b, reply, &HeartbeatReply{})
+	}
+	b.ReportMetric(float64(bytes), "wire-B/op")
+}
+
+func roundTrip(b *testing.B, message, into any) int {
+	data, err := cbor.Marshal(message)
+	if err == nil {
+		err = cbor.Unmarshal(data, into)
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(data)
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -265,13 +265,18 @@
 	}
 }
 
-// BenchmarkPlan measures the plan after the loss of one of 100 backend servers at
-// 65,536 units.
+// BenchmarkPlan measures the plan after the loss of one of 100 backend servers by
+// the number of units.
 func BenchmarkPlan(b *testing.B) {
-	input := Input{Units: makeUnits(65536), Current: map[keyspace.Unit]string{}, Servers: makeServers(100), MaxMoves: 64}
-	applyMoves(input.Current, Plan(input))
-	input.Servers = input.Servers[1:]
-	for b.Loop() {
-		Plan(input)
+	for _, units := range []int{4096, 16384, 65536} {
+		b.Run(fmt.Sprintf("units=%d", units), func(b *testing.B) {
+			input := Input{Units: makeUnits(units), Current: map[keyspace.Unit]string{}, Servers: makeServers(100), MaxMoves: 64}
+			applyMoves(input.Current, Plan(input))
+			input.Servers = input.Servers[1:]
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(input)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/internal/report/rates_test.go
@@ -0,0 +1,49 @@
+package report
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fireflyfield/internal/trace"
+)
+
+// Guards against a metric that takes every refusal for rate as rightful, or that
+// takes a refusal after the burst for a wrongful one.
+func TestJudgeRates(t *testing.T) {
+	is := is.New(t)
+	refused := func(id string) trace.Answer {
+		return trace.Answer{Request: id, Outcome: trace.NotRun, Status: 429, Reason: trace.RefusedRate}
+	}
+	second := int64(time.Second)
+	bodies := []struct {
+		at   int64
+		body trace.Body
+	}{
+		{0, trace.Rate{Workspace: "w", RequestsPerSecond: 1, Burst: 2, Revision: 1}},
+		{0, trace.Rate{Workspace: "w", RequestsPerSecond: 1, Burst: 2, Revision: 1}}, // from another VM
+		{1, trace.Request{Request: "a", Workspace: "w"}},
+		{1, trace.Admitted{Request: "a", Workspace: "w"}},
+		{2, trace.Request{Request: "inside", Workspace: "w"}},
+		{3, refused("inside")},
+		{4, trace.Request{Request: "b", Workspace: "w"}},
+		{4, trace.Admitted{Request: "b", Workspace: "w"}},
+		{5, trace.Request{Request: "outside", Workspace: "w"}},
+		{6, refused("outside")},
+		{2 * second, trace.Request{Request: "later", Workspace: "w"}},
+		{2*second + 1, refused("later")},
+	}
+	var events []trace.Event
+	for i, b := range bodies {
+		events = append(events, trace.Event{Time: b.at, VM: "vm", Seq: uint64(i + 1), Body: b.body})
+	}
+	judged := make(map[string]bool)
+	for _, event := range JudgeRates(events) {
+		if answer, ok := event.Body.(trace.Answer); ok {
+			judged[answer.Request] = answer.InsideRate
+		}
+	}
+	is.Equal(judged, map[string]bool{"inside": true, "outside": false, "later": true})
+	is.True(!events[5].Body.(trace.Answer).InsideRate) // the input stays as it was
+}
--- a/internal/standin/backend/record.go
+++ b/internal/standin/backend/record.go
@@ -152,10 +152,10 @@
 	if s.options.Trace == nil {
 		return
 	}
-	s.recordLapsesLocked(nowMs)
+	left := len(s.grants.held) - s.recordLapsesLocked(nowMs)
 	server := s.traceServer()
 	expires := s.expiryTime(req.ExpiresAtMs).UnixNano()
-	if req.Renew && len(s.grants.held) > 0 {
+	if req.Renew && left > 0 {
 		s.options.Trace.Record(trace.Renew{Server: server, Instance: s.instance, Expires: expires})
 	}
 	for _, unit := range req.Revoke {
@@ -167,11 +167,15 @@
 	}
 }
 
-func (s *Server) recordLapsesLocked(nowMs int64) {
+// recordLapsesLocked returns the number of units whose lease has expired.
+func (s *Server) recordLapsesLocked(nowMs int64) int {
+	lapsed := 0
 	for unit, grant := range s.grants.held {
 		if nowMs >= grant.expiresMs {
 			lapse := trace.Lapse{Server: s.traceServer(), Instance: s.instance, Unit: trace.Unit(unit)}
 			s.options.Trace.RecordAt(s.expiryTime(grant.expiresMs), lapse)
+			lapsed++
 		}
 	}
+	return lapsed
 }
