--- a/internal/report/rates.go
+++ b/internal/report/rates.go
@@ -8,9 +8,11 @@
 )
 
 // JudgeRates returns the events by time, in which a refusal for rate is marked as
-// inside the rate if the workspace still had a token at the request's arrival. One
-// VM can't tell, since it does not see what the other VMs admitted; the merged
-// trace can.
+// inside the rate if the requests of the workspace up to and with this one keep to
+// its rate and burst. Every request counts, refused or not: counting only the
+// admitted ones would call refusals wrongful while the workspace offers several
+// times its rate. One VM can't tell, since it does not see the requests of the
+// others; the merged trace can.
 func JudgeRates(events []trace.Event) []trace.Event {
 	sorted := slices.SortedStableFunc(slices.Values(events), trace.Compare)
 	buckets := make(map[string]*rateBucket)
@@ -19,10 +21,8 @@
 		switch body := event.Body.(type) {
 		case trace.Rate:
 			setRate(buckets, event.Time, body)
-		case trace.Admitted:
-			buckets[body.Workspace].take(event.Time)
 		case trace.Request:
-			inside[body.Request] = buckets[body.Workspace].has(event.Time)
+			inside[body.Request] = buckets[body.Workspace].take(event.Time)
 		case trace.Answer:
 			if body.Reason == trace.RefusedRate && inside[body.Request] {
 				body.InsideRate = true
@@ -33,8 +33,9 @@
 	return sorted
 }
 
-// rateBucket is the token bucket of one workspace over all VMs. A nil bucket
-// stands for a workspace whose rate is not known; it has no tokens.
+// rateBucket is the token bucket of one workspace over all VMs, charged with every
+// request. A nil bucket stands for a workspace whose rate is not known; it has no
+// tokens.
 type rateBucket struct {
 	rate  trace.Rate
 	level float64
@@ -61,17 +62,14 @@
 	b.at = at
 }
 
-func (b *rateBucket) has(at int64) bool {
+// take charges one request and reports whether there was a token for it. The level
+// does not sink below minus one burst, so that a workspace which offered much more
+// than its rate counts as inside again soon after it stopped.
+func (b *rateBucket) take(at int64) bool {
 	if b == nil {
 		return false
 	}
 	b.fill(at)
-	return b.level >= 1
-}
-
-func (b *rateBucket) take(at int64) {
-	if b != nil {
-		b.fill(at)
-		b.level--
-	}
+	b.level = max(b.level-1, -float64(b.rate.Burst))
+	return b.level >= 0
 }
--- a/internal/report/rates_test.go
+++ b/internal/report/rates_test.go
@@ -23,16 +23,16 @@
 	}{
 		{0, trace.Rate{Workspace: "w", RequestsPerSecond: 1, Burst: 2, Revision: 1}},
 		{0, trace.Rate{Workspace: "w", RequestsPerSecond: 1, Burst: 2, Revision: 1}}, // from another VM
-		{1, trace.Request{Request: "a", Workspace: "w"}},
-		{1, trace.Admitted{Request: "a", Workspace: "w"}},
-		{2, trace.Request{Request: "inside", Workspace: "w"}},
-		{3, refused("inside")},
-		{4, trace.Request{Request: "b", Workspace: "w"}},
-		{4, trace.Admitted{Request: "b", Workspace: "w"}},
-		{5, trace.Request{Request: "outside", Workspace: "w"}},
-		{6, refused("outside")},
-		{2 * second, trace.Request{Request: "later", Workspace: "w"}},
-		{2*second + 1, refused("later")},
+		{1, trace.Request{Request: "inside", Workspace: "w"}},
+		{2, refused("inside")},
+		{3, trace.Request{Request: "b", Workspace: "w"}},
+		{3, trace.Admitted{Request: "b", Workspace: "w"}},
+		{4, trace.Request{Request: "outside", Workspace: "w"}},
+		{5, refused("outside")},
+		{1*second + 6, trace.Request{Request: "still outside", Workspace: "w"}}, // the token of 1 s paid for "outside"
+		{1*second + 7, refused("still outside")},
+		{4 * second, trace.Request{Request: "later", Workspace: "w"}},
+		{4*second + 1, refused("later")},
 	}
 	var events []trace.Event
 	for i, b := range bodies {
@@ -44,6 +44,6 @@
 			judged[answer.Request] = answer.InsideRate
 		}
 	}
-	is.Equal(judged, map[string]bool{"inside": true, "outside": false, "later": true})
-	is.True(!events[5].Body.(trace.Answer).InsideRate) // the input stays as it was
+	is.Equal(judged, map[string]bool{"inside": true, "outside": false, "still outside": false, "later": true})
+	is.True(!events[3].Body.(trace.Answer).InsideRate) // the input stays as it was
 }
--- a/internal/standin/backend/record_test.go
+++ b/internal/standin/backend/record_test.go
@@ -126,3 +126,17 @@
 	_, events := r.types()
 	is.Equal(events[1].Body.(trace.RunRefused).Reason, trace.RefusedFence)
 }
+
+// Guards against a complete answer from a run that ended between its last
+// instruction and the write, which the trace has as cancelled.
+func TestFinishAfterRestart(t *testing.T) {
+	is := is.New(t)
+	r := newRecorded(t, Options{Slots: 1})
+	running := admission{id: "a", attempt: 1, cancelled: make(chan struct{})}
+	r.server.inFlight[running.id] = running
+	r.server.Restart()
+	is.True(!r.server.finish(running, nil))
+	types, events := r.types()
+	is.Equal(types, []trace.Type{trace.TypeServerState, trace.TypeRunEnd, trace.TypeServerState})
+	is.True(events[1].Body.(trace.RunEnd).Cancelled)
+}
