--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -90,6 +90,9 @@
 	Instance string
 	// Attempt is the number of the attempt that brought the answer.
 	Attempt uint32
+	// ReplayOf is the request whose stored answer this is; empty for an answer of
+	// this request.
+	ReplayOf string
 }
 
 // Failure is an attempt that brought no answer to pass on.
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -40,6 +40,8 @@
 	// Attempt is the number of the attempt whose answer was sent; zero for an
 	// answer that the VM made.
 	Attempt uint32
+	// ReplayOf is the request whose stored answer was sent.
+	ReplayOf string
 	// Bytes is the length of the body, Digest its xxhash64.
 	Bytes  int64
 	Digest uint64
@@ -116,6 +118,7 @@
 		return
 	}
 	r.sent.Attempt = resp.Attempt
+	r.sent.ReplayOf = resp.ReplayOf
 	r.body = &digestBody{ReadCloser: resp.Body, digest: xxhash.New()}
 	resp.Body = r.body
 }
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -17,7 +17,9 @@
 	ticket   admission.Ticket
 	keyed    bool
 	unit     uint64
+	keyHash  uint64
 	ctx      context.Context
+	cancel   context.CancelFunc
 	now      Clock
 	recorder Recorder
 	attempt  peer.Attempt
@@ -27,6 +29,18 @@
 	done     sync.Once
 }
 
+func newRun(ctx context.Context, entry *entry, ticket admission.Ticket, attempt peer.Attempt, owner Owner, now Clock) *run {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &run{
+		entry: entry, ticket: ticket, now: now, ctx: ctx, cancel: cancel,
+		keyed: attempt.Keyed, unit: owner.Unit, keyHash: attempt.KeyHash, attempt: attempt,
+	}
+	if r.keyed {
+		entry.runs.add(r)
+	}
+	return r
+}
+
 func (r *run) send(attempt peer.Attempt, owner Owner) (*backend.Response, error) {
 	r.start = r.now()
 	r.recordSending(owner)
@@ -67,8 +81,10 @@
 		r.recordEnd(observation.Result)
 		r.ticket.Done(observation)
 		if r.keyed {
+			r.entry.runs.remove(r)
 			r.entry.units.end(r.unit)
 		}
+		r.cancel()
 	})
 }
 
--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -73,6 +73,7 @@
 	d.member.lastHeartbeat = d.now.Mono
 	if d.state.Decider == d.options.Self {
 		d.lead = d.newLeadership()
+		d.adoptPartitions()
 	}
 }
 
@@ -96,6 +97,7 @@
 		endedMembers: make(map[Member]bool),
 		leavingVMs:   make(map[Member]bool),
 		roles:        make(map[Role]Member),
+		pairSince:    make(map[uint32]time.Duration),
 		services:     make(map[string]*serviceRun),
 		changed:      true,
 	}
--- a/internal/recording/callers.go
+++ b/internal/recording/callers.go
@@ -51,12 +51,13 @@
 // Finished implements caller.Recorder.
 func (c Callers) Finished(r *dispatch.Request, sent caller.Sent) {
 	event := trace.Answer{
-		Request: r.ID,
-		Attempt: sent.Attempt,
-		Outcome: trace.Ran,
-		Status:  sent.Answer.Status,
-		Bytes:   sent.Bytes,
-		Digest:  trace.Hash(sent.Digest),
+		Request:  r.ID,
+		Attempt:  sent.Attempt,
+		ReplayOf: sent.ReplayOf,
+		Outcome:  trace.Ran,
+		Status:   sent.Answer.Status,
+		Bytes:    sent.Bytes,
+		Digest:   trace.Hash(sent.Digest),
 		// A rate refusal is judged from the whole trace, since one VM does not see
 		// what the others admitted.
 		InsideRate: sent.Admitted,
--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -27,6 +27,7 @@
 	peer.Handle(server, messageHandover, smallLimit, v.onHandover)
 	peer.Handle(server, messageExchange, smallLimit, v.onExchange)
 	peer.Handle(server, messageQuota, recordsLimit, v.quotas.onMessage)
+	peer.Handle(server, messageIdempotency, idempotencyLimit, v.partitions.onCall)
 }
 
 func (v *VM) onHeartbeat(ctx context.Context, _ peer.Identity, heartbeat ownership.Heartbeat) (ownership.HeartbeatReply, error) {
@@ -57,10 +58,12 @@
 func (v *VM) acceptMap(published ownership.DomainMap) bool {
 	newer := v.table.UpdateDomain(published)
 	if newer && published.Domain == v.options.FailureDomain {
+		go v.assigner.enqueue(v.work, ownership.MapReceived{Term: published.Term, Version: published.Version})
 		v.mapSeen.CompareAndSwap(0, time.Now().UnixNano())
 	}
 	if newer {
 		v.router.notify()
+		go v.gates.CancelLost(v.work)
 	}
 	return newer
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -26,21 +26,22 @@
 
 // VM is one running VM.
 type VM struct {
-	options  Options
-	logger   *zap.Logger
-	platform *platform.Client
-	follower *config.Follower
-	fleet    *fleet
-	table    *ownership.Table
-	gates    *gate.Set
-	router   *router
-	unkeyed  *balancers
-	calls    *peer.Client
-	control  *control
-	roles    *roles
-	keyring  *callerkey.Keyring
-	quotas   *quotas
-	assigner *assigner
+	options    Options
+	logger     *zap.Logger
+	platform   *platform.Client
+	follower   *config.Follower
+	fleet      *fleet
+	table      *ownership.Table
+	gates      *gate.Set
+	router     *router
+	unkeyed    *balancers
+	calls      *peer.Client
+	control    *control
+	roles      *roles
+	keyring    *callerkey.Keyring
+	quotas     *quotas
+	partitions *partitions
+	assigner   *assigner
 
 	callers   *listener
 	peers     *listener
@@ -51,6 +52,8 @@
 	stopping   atomic.Bool
 	background sync.WaitGroup
 	stopWork   context.CancelFunc
+	// work is the context of the background goroutines.
+	work context.Context
 }
 
 // Start opens the listeners and begins to follow the platform. The VM is ready
@@ -66,6 +69,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	v.stopWork = stop
+	v.work = ctx
 	v.startBackground(ctx)
 	go v.peers.serve(v.logger)
 	go v.operators.serve(v.logger)
@@ -87,10 +91,11 @@
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
-	v.gates = gate.NewSet(owners{v.table}, clock.leaseNow)
+	v.gates = gate.NewSet(owners{v}, clock.leaseNow)
 	v.recordAttempts()
 	v.keyring = callerkey.NewKeyring(time.Now())
 	v.quotas = newQuotas(v)
+	v.partitions = newPartitions(v)
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
 	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
@@ -102,7 +107,7 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (v *VM) listen() error {
-	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, dispatch.New(v.router, newRandom), noObserver{}, v.stopping.Load)
+	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, &deduplicator{inner: dispatch.New(v.router, newRandom), partitions: v.partitions}, noObserver{}, v.stopping.Load)
 	v.recordCallers(handler)
 	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
 	v.registerHandlers(control)
@@ -143,6 +148,7 @@
 	v.background.Go(func() { v.exchange(ctx) })
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
+	v.background.Go(func() { v.partitions.run(ctx) })
 	for range v.options.Workers {
 		v.background.Go(func() { v.assigner.work(ctx) })
 	}
