--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -120,6 +120,15 @@
 	platform *process
 	backends map[string]*process
 	vms      map[string]*process
+	traces   string
+}
+
+// trace returns the flags that make a process record its events, if wanted.
+func (d *deployment) trace(name string) []string {
+	if d.traces == "" {
+		return nil
+	}
+	return []string{"-trace", filepath.Join(d.traces, name+".jsonl")}
 }
 
 // topology says what a deployment consists of.
@@ -130,13 +139,16 @@
 	// domain.
 	perDomain int
 	runTime   time.Duration
+	// traces is the directory for the traces of VMs and backend servers; empty for
+	// none.
+	traces string
 }
 
 const callerKey = "e2e-caller-key"
 
 func deploy(t *testing.T, top topology) *deployment {
 	t.Helper()
-	d := &deployment{backends: make(map[string]*process), vms: make(map[string]*process)}
+	d := &deployment{backends: make(map[string]*process), vms: make(map[string]*process), traces: top.traces}
 	d.platform = start(t, "standin", "platform", "-listen", "127.0.0.1:0")
 	set := d.startBackends(t, top)
 	d.publish(t, set)
@@ -163,8 +175,9 @@
 
 func (d *deployment) addBackend(t *testing.T, spec *resource.ServiceSpec, service, name, domain string, runTime time.Duration) {
 	t.Helper()
-	p := start(t, "standin", "backend", "-listen", "127.0.0.1:0", "-service", service, "-server", name,
-		fmt.Sprintf("-keyed=%t", spec.Keyed()), fmt.Sprintf("-checks-grants=%t", spec.ChecksGrants), "-run-time", runTime.String())
+	args := []string{"standin", "backend", "-listen", "127.0.0.1:0", "-service", service, "-server", name, "-failure-domain", domain,
+		fmt.Sprintf("-keyed=%t", spec.Keyed()), fmt.Sprintf("-checks-grants=%t", spec.ChecksGrants), "-run-time", runTime.String()}
+	p := start(t, append(args, d.trace(name)...)...)
 	d.backends[name] = p
 	spec.BackendServers = append(spec.BackendServers, resource.BackendServer{Name: name, Address: p.address(), FailureDomain: domain})
 }
@@ -224,8 +237,9 @@
 	t.Helper()
 	peer := freeAddress(t)
 	d.list(t, platform.VM{Name: name, FailureDomain: domain, PeerAddress: peer, State: platform.VMLive})
-	d.vms[name] = start(t, "serve", "-name", name, "-failure-domain", domain, "-platform", d.platform.address(),
-		"-caller-listen", "127.0.0.1:0", "-peer-listen", peer, "-operator-listen", "127.0.0.1:0", "-leave-delay", "300ms")
+	args := []string{"serve", "-name", name, "-failure-domain", domain, "-platform", d.platform.address(),
+		"-caller-listen", "127.0.0.1:0", "-peer-listen", peer, "-operator-listen", "127.0.0.1:0", "-leave-delay", "300ms"}
+	d.vms[name] = start(t, append(args, d.trace(name)...)...)
 }
 
 // list puts a VM on the platform's list.
