--- a/internal/caller/record_test.go
+++ b/internal/caller/record_test.go
@@ -110,3 +110,28 @@
 	}
 	is.Equal(len(p.received), 6) // none for the service that does not exist
 }
+
+// discard records nothing.
+type discard struct{}
+
+func (discard) Received(*dispatch.Request, Arrival) {}
+func (discard) Admitted(*dispatch.Request)          {}
+func (discard) Finished(*dispatch.Request, Sent)    {}
+
+// BenchmarkHandler measures one request without and with a recorder, the answer
+// of 4 KiB included.
+func BenchmarkHandler(b *testing.B) {
+	for name, recorder := range map[string]Recorder{"recorder=off": nil, "recorder=on": discard{}} {
+		b.Run(name, func(b *testing.B) {
+			p := &parts{answer: strings.Repeat("x", 4096)}
+			handler := New(p, p, p, p, p, func() bool { return false })
+			handler.Recorder = recorder
+			b.ReportAllocs()
+			for b.Loop() {
+				request := httptest.NewRequest(http.MethodGet, "/rota/plan", nil)
+				request.Header.Set("Authorization", "Bearer "+secret)
+				handler.ServeHTTP(httptest.NewRecorder(), request)
+			}
+		})
+	}
+}
--- a/internal/ownership/capacity_test.go
+++ b/internal/ownership/capacity_test.go
@@ -34,6 +34,34 @@
 	}
 }
 
+// benchmarkRoles is the number of roles of one member in the benchmarks: the gates
+// of the example's backend servers over its VMs.
+const benchmarkRoles = 12
+
+// BenchmarkMembers measures what a decider keeps of its members.
+func BenchmarkMembers(b *testing.B) {
+	for _, count := range []int{50, 200, 820} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			statesize.Report(b, func() any { return memberStates(count) })
+		})
+	}
+}
+
+func memberStates(count int) *leadership {
+	lead := &leadership{members: make(map[Member]*lessee[Role]), sentInstants: make(map[Member]Instant), roles: make(map[Role]Member)}
+	for i := range count {
+		member := Member{VM: fmt.Sprintf("vm-%d", i), Instance: fmt.Sprintf("5d2b8a4e-7a51-4d1c-9a5b-%012d", i)}
+		lead.members[member] = newLessee[Role](0)
+		lead.sentInstants[member] = Instant{}
+		for n := range benchmarkRoles {
+			role := Role{Kind: RoleGate, Service: "entretien", Name: fmt.Sprintf("entretien-%d", i*benchmarkRoles+n)}
+			lead.members[member].held[role] = Token{Term: 1}
+			lead.roles[role] = member
+		}
+	}
+	return lead
+}
+
 // BenchmarkRoute measures the lookup of one request's key at 65,536 slices.
 func BenchmarkRoute(b *testing.B) {
 	table := filledTable(65536)
@@ -47,7 +75,7 @@
 // of a member and of its reply, without the work of the decision logic.
 func BenchmarkHeartbeat(b *testing.B) {
 	var roles []Role
-	for i := range 12 {
+	for i := range benchmarkRoles {
 		roles = append(roles, Role{Kind: RoleGate, Service: "entretien", Name: fmt.Sprintf("entretien-%d", i)})
 	}
 	member := Member{VM: "vm-plateau", Instance: "5d2b8a4e-7a51-4d1c-9a5b-0d3f5f1c2b3a"}
