--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -21,6 +21,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	now      Clock
+	recorder Recorder
+	attempt  peer.Attempt
+	status   int
 	start    time.Time
 	instance string
 	done     sync.Once
@@ -30,7 +33,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{
 		entry: entry, ticket: ticket, now: now, ctx: ctx, cancel: cancel,
-		keyed: attempt.Keyed, unit: owner.Unit, keyHash: attempt.KeyHash,
+		keyed: attempt.Keyed, unit: owner.Unit, keyHash: attempt.KeyHash, attempt: attempt,
 	}
 	if r.keyed {
 		entry.runs.add(r)
@@ -40,8 +43,10 @@
 
 func (r *run) send(attempt peer.Attempt, owner Owner) (*backend.Response, error) {
 	r.start = r.now()
+	r.recordSending(owner)
 	resp, err := r.entry.client.Send(r.ctx, backend.Request{
 		ID:         attempt.RequestID,
+		Attempt:    attempt.Number,
 		Workspace:  attempt.Workspace,
 		Method:     attempt.Method,
 		Target:     attempt.Target,
@@ -56,10 +61,12 @@
 	if err != nil {
 		failure := err.(*backend.Failure)
 		r.instance = failure.Instance
+		r.recordFailed(failure)
 		r.observe(resultOf(r.ctx, failure))
 		return nil, failure
 	}
 	r.instance = resp.Instance
+	r.status = resp.Status
 	resp.Body = &observedBody{body: resp.Body, run: r}
 	return resp, nil
 }
@@ -71,6 +78,7 @@
 // finish frees the slot and the unit; further calls have no effect.
 func (r *run) finish(observation admission.Observation) {
 	r.done.Do(func() {
+		r.recordEnd(observation.Result)
 		r.ticket.Done(observation)
 		if r.keyed {
 			r.entry.runs.remove(r)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fireflyfield/internal/admission"
@@ -40,6 +41,10 @@
 
 // Set holds the gates of this VM. It is safe for concurrent use.
 type Set struct {
+	// Recorder is told of attempts; nil for none. It must be set before the first
+	// use of the set.
+	Recorder Recorder
+
 	owners Owners
 	now    Clock
 	// meter counts the demand of keyed services; nil counts nothing.
@@ -54,10 +59,13 @@
 	address string
 	slots   int
 	slices  int
-	gate    *admission.Gate
-	client  *backend.Client
-	units   *unitGuard
-	runs    *runSet
+	// domain is the failure domain of the backend server.
+	domain   string
+	inFlight atomic.Int64
+	gate     *admission.Gate
+	client   *backend.Client
+	units    *unitGuard
+	runs     *runSet
 }
 
 // NewSet returns a set without gates. The meter may be nil.
@@ -119,6 +127,7 @@
 	}
 	return &entry{
 		address: server.Address,
+		domain:  domainOf(server),
 		slots:   spec.Slots,
 		slices:  spec.Slices,
 		gate:    gate,
@@ -201,6 +210,7 @@
 		return nil, &backend.Failure{Kind: outcome.NotRun, Reason: "moved"}
 	}
 	run := newRun(ctx, existing, ticket, attempt, owner, s.now)
+	run.recorder = s.Recorder
 	if refusal := ticket.MaySend(); refusal.Refused() {
 		run.finish(admission.Observation{Result: admission.Abandoned})
 		return nil, refused(refusal)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -21,6 +21,7 @@
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/platform"
 	"fireflyfield/internal/snapshot"
+	"fireflyfield/internal/trace"
 )
 
 // VM is one running VM.
@@ -96,6 +97,7 @@
 	v.control = newControl(v.follower.State().View)
 	v.loads = newLoads(v)
 	v.gates = gate.NewSet(owners{v}, clock.leaseNow, v.loads.meter)
+	v.recordAttempts()
 	v.keyring = callerkey.NewKeyring(time.Now())
 	v.quotas = newQuotas(v)
 	v.partitions = newPartitions(v)
@@ -113,7 +115,7 @@
 func (v *VM) callerHandler() http.Handler {
 	dispatcher := dispatch.New(v.router, newRandom)
 	dispatcher.Observe(v.metrics)
-	return caller.New(
+	handler := caller.New(
 		keys{v.keyring},
 		v.measuredLimiter(),
 		services{v.follower.State()},
@@ -121,6 +123,8 @@
 		v.requestMeter(),
 		v.stopping.Load,
 	)
+	v.recordCallers(handler)
+	return handler
 }
 
 // newAnswers wires the server that answers other VMs.
@@ -169,6 +173,7 @@
 	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
 	v.background.Go(func() { v.roles.run(ctx) })
 	v.background.Go(func() { v.followConfig(ctx) })
+	v.background.Go(func() { v.recordConfig(ctx) })
 	v.background.Go(func() { v.exchange(ctx) })
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
@@ -233,6 +238,8 @@
 	}
 	close(v.stopSignal)
 	v.logger.Info("stopping")
+	v.recordStop(trace.Begin)
+	defer v.recordStop(trace.Finished)
 	ctx, cancel := context.WithTimeout(ctx, v.options.StopTimeout)
 	defer cancel()
 	sleep(ctx, v.options.LeaveDelay)
