--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,6 +72,8 @@
 	router  Router
 	waiting chan struct{}
 	random  func() *rand.Rand
+	// observer may be nil.
+	observer Observer
 
 	mu       sync.RWMutex
 	policies map[string]*policy
@@ -160,6 +162,9 @@
 	tried   []string
 	// attempts counts those that a gate admitted or a backend server refused.
 	attempts int
+	// numbered is the number of the latest attempt, hedges included. Attempts are
+	// numbered where they are started, by the goroutine of the request.
+	numbered uint32
 	// unknown is set once an attempt may have run the request.
 	unknown bool
 	// giveUpRoutes is the time from which a stale route is not waited out.
@@ -217,7 +222,11 @@
 		RetryAfter:    failure.RetryAfter,
 		OtherServer:   !r.Spec.Keyed(),
 	})
-	return decision.Verdict == retry.Again && sleep(ctx, decision.After)
+	if decision.Verdict != retry.Again || !sleep(ctx, decision.After) {
+		return false
+	}
+	d.retried(r.Service)
+	return true
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/vm/deduplicate.go
+++ b/internal/vm/deduplicate.go
@@ -140,6 +140,8 @@
 		return resp, nil
 	}
 	_ = resp.Body.Close()
+	// Repeats name the request that ran in their trace; callers do not see it.
+	resp.Header.Set(backend.HeaderRequestID, r.ID)
 	end.Result = &idempotency.Result{Status: resp.Status, Headers: storedHeaders(resp.Header), Body: body}
 	d.report(ctx, end)
 	resp.Body = io.NopCloser(bytes.NewReader(body))
@@ -213,5 +215,10 @@
 		header.Add(h.Name, h.Value)
 	}
 	header.Set(headerReplayed, "true")
-	return &backend.Response{Status: result.Status, Header: header, Body: io.NopCloser(bytes.NewReader(result.Body))}
+	return &backend.Response{
+		Status:   result.Status,
+		Header:   header,
+		Body:     io.NopCloser(bytes.NewReader(result.Body)),
+		ReplayOf: header.Get(backend.HeaderRequestID),
+	}
 }
--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -29,6 +29,7 @@
 	peer.Handle(server, messageLoad, smallLimit, v.onLoad)
 	peer.Handle(server, messageServerLoads, smallLimit, v.onServerLoads)
 	peer.Handle(server, messageQuota, recordsLimit, v.quotas.onMessage)
+	peer.Handle(server, messageStatus, smallLimit, v.onStatus)
 	peer.Handle(server, messageIdempotency, idempotencyLimit, v.partitions.onCall)
 }
 
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -21,6 +21,7 @@
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/platform"
 	"fireflyfield/internal/snapshot"
+	"fireflyfield/internal/trace"
 )
 
 // VM is one running VM.
@@ -35,6 +36,7 @@
 	router     *router
 	unkeyed    *balancers
 	calls      *peer.Client
+	answers    *peer.Server
 	control    *control
 	roles      *roles
 	keyring    *callerkey.Keyring
@@ -42,6 +44,7 @@
 	loads      *loads
 	partitions *partitions
 	assigner   *assigner
+	operatorState
 
 	callers   *listener
 	peers     *listener
@@ -88,17 +91,19 @@
 		table:    ownership.NewTable(),
 		calls:    peer.NewClient(identity, options.PeerToken),
 	}
+	v.operatorState = newOperatorState(v)
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
 	v.control = newControl(v.follower.State().View)
 	v.loads = newLoads(v)
 	v.gates = gate.NewSet(owners{v}, clock.leaseNow, v.loads.meter)
+	v.recordAttempts()
 	v.keyring = callerkey.NewKeyring(time.Now())
 	v.quotas = newQuotas(v)
 	v.partitions = newPartitions(v)
 	v.roles = newRoles(v, clock)
 	v.assigner = newAssigner(v, clock, v.roles)
-	send := &senders{self: options.Name, gates: v.gates, fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
+	send := &senders{self: options.Name, gates: v.measuredGates(), fleet: v.fleet, forwarder: peer.NewForwarder(options.PeerToken)}
 	v.unkeyed = newBalancers(options.FailureDomain, v.table, send)
 	v.router = newRouter(v.table, send, v.unkeyed)
 	return v
@@ -106,13 +111,38 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
+// callerHandler wires the callers' side.
+func (v *VM) callerHandler() http.Handler {
+	dispatcher := dispatch.New(v.router, newRandom)
+	dispatcher.Observe(v.metrics)
+	handler := caller.New(
+		keys{v.keyring},
+		v.measuredLimiter(),
+		services{v.follower.State()},
+		&deduplicator{inner: dispatcher, partitions: v.partitions},
+		v.requestMeter(),
+		v.stopping.Load,
+	)
+	v.recordCallers(handler)
+	return handler
+}
+
+// newAnswers wires the server that answers other VMs.
+func (v *VM) newAnswers() *peer.Server {
+	v.answers = peer.NewServer(v.identity(), v.options.PeerToken, v.logger)
+	v.answers.Measure(peerMeter{v.metrics})
+	v.registerHandlers(v.answers)
+	return v.answers
+}
+
+func (v *VM) identity() peer.Identity {
+	return peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}
+}
+
 func (v *VM) listen() error {
-	handler := caller.New(keys{v.keyring}, v.quotas, services{v.follower.State()}, &deduplicator{inner: dispatch.New(v.router, newRandom), partitions: v.partitions}, noObserver{}, v.stopping.Load)
-	control := peer.NewServer(peer.Identity{Version: peer.Version, VM: v.options.Name, Instance: v.options.Instance, FailureDomain: v.options.FailureDomain}, v.options.PeerToken, v.logger)
-	v.registerHandlers(control)
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.ControlPath, control)
-	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.gates))
+	peerMux.Handle(peer.ControlPath, v.newAnswers())
+	peerMux.Handle(peer.ForwardPath+"/", peer.ForwardHandler(v.options.PeerToken, v.measuredGates()))
 	var faults error
 	open := func(into **listener, address string, limit int, server *http.Server) {
 		opened, err := listen(address, limit, server)
@@ -121,7 +151,7 @@
 	}
 	open(&v.peers, v.options.PeerListen, 0, peerServer(peerMux))
 	open(&v.operators, v.options.OperatorListen, 0, operatorServer(v.operatorHandler()))
-	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(guarded(handler)))
+	open(&v.callers, v.options.CallerListen, maxCallerConnections, callerServer(guarded(v.callerHandler())))
 	if faults != nil {
 		v.closeListeners()
 	}
@@ -143,9 +173,11 @@
 	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
 	v.background.Go(func() { v.roles.run(ctx) })
 	v.background.Go(func() { v.followConfig(ctx) })
+	v.background.Go(func() { v.recordConfig(ctx) })
 	v.background.Go(func() { v.exchange(ctx) })
 	v.background.Go(func() { v.confirmKeys(ctx) })
 	v.background.Go(func() { v.quotas.run(ctx) })
+	v.background.Go(func() { v.collector.run(ctx) })
 	v.background.Go(func() { v.loads.run(ctx) })
 	v.background.Go(func() { v.watchServers(ctx) })
 	v.background.Go(func() { v.readServerLoads(ctx) })
@@ -189,6 +221,11 @@
 // OperatorAddress returns HOST:PORT of the operators' listener.
 func (v *VM) OperatorAddress() string { return v.operators.address() }
 
+// handoverLinger is the time for which a VM without duties still answers, so that
+// new keepers learn at once which tokens it holds. Without the answer they refuse
+// requests inside the rate until the process has ended.
+const handoverLinger = 300 * time.Millisecond
+
 // ErrStopping says that the VM has been told to stop before.
 var ErrStopping = errors.New("already stopping")
 
@@ -199,7 +236,10 @@
 	if v.stopping.Swap(true) {
 		return ErrStopping
 	}
+	close(v.stopSignal)
 	v.logger.Info("stopping")
+	v.recordStop(trace.Begin)
+	defer v.recordStop(trace.Finished)
 	ctx, cancel := context.WithTimeout(ctx, v.options.StopTimeout)
 	defer cancel()
 	sleep(ctx, v.options.LeaveDelay)
@@ -207,9 +247,11 @@
 	if v.fleet.hasSuccessor(v.options.FailureDomain, v.options.Name) && !v.assigner.requestStop(ctx) {
 		v.logger.Warn("duties of this VM did not move before the stop timeout")
 	}
+	sleep(ctx, handoverLinger)
 	v.stopWork()
 	v.background.Wait()
 	err = multierr.Append(err, v.peers.shutdown(ctx))
+	v.answers.Close()
 	err = multierr.Append(err, v.operators.shutdown(ctx))
 	v.calls.Close()
 	v.platform.Close()
