--- a/internal/dev/path_test.go
+++ b/internal/dev/path_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"fireflyfield/internal/outcome"
+	"fireflyfield/internal/resource"
 	backendstandin "fireflyfield/internal/standin/backend"
 	"fireflyfield/internal/vm"
 )
@@ -146,33 +147,79 @@
 	second, err := cluster.AddVM("vm-medina-2", "medina", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(second.AwaitReady(t.Context()))
+	load := startLoad(t, cluster)
+	time.Sleep(200 * time.Millisecond)
+	begin := time.Now()
+	is.NoErr(cluster.StopVM(context.Background(), cluster.VMs[1]))
+	t.Logf("stop took %s", time.Since(begin))
+	time.Sleep(200 * time.Millisecond)
+	load.finish()
+	is.True(load.sent.Load() > 0)
+	is.Equal(load.failed.Load(), int64(0))
+}
+
+// Guards against a planned stop of a backend server cutting requests: it is
+// drained first and stopped when nothing is left there.
+func TestPlannedStopOfBackendServerCutsNothing(t *testing.T) {
+	is := is.New(t)
+	cluster := startDakar(t)
+	load := startLoad(t, cluster)
+	time.Sleep(200 * time.Millisecond)
+	leaving := cluster.Backends["entretien-2"]
+	is.NoErr(cluster.Put(t.Context(), resource.Resource{
+		APIVersion: resource.APIVersion,
+		Metadata:   resource.Metadata{Name: "leave"},
+		Spec:       &resource.DrainSpec{BackendServer: &resource.BackendTarget{Service: "entretien", Name: "entretien-2"}},
+	}))
+	time.Sleep(leaveWithin)
+	before := len(leaving.Runs())
+	leaving.Restart() // ends whatever still runs there
+	time.Sleep(500 * time.Millisecond)
+	load.finish()
+	is.True(load.sent.Load() > 0)
+	is.Equal(load.failed.Load(), int64(0))
+	is.Equal(len(leaving.Runs()), before) // no new work
+}
+
+// leaveWithin is the time after which a backend server that leaves gets no new work.
+const leaveWithin = 3 * time.Second
+
+// load sends requests that are not idempotent through all ready VMs.
+type load struct {
+	sent, failed atomic.Int64
+	stop         context.CancelFunc
+	running      sync.WaitGroup
+}
+
+func startLoad(t *testing.T, cluster *Cluster) *load {
+	t.Helper()
 	const workers = 8
-	var sent, failed atomic.Int64
 	ctx, stop := context.WithCancel(t.Context())
-	var running sync.WaitGroup
+	l := &load{stop: stop}
 	for range workers {
-		running.Go(func() {
+		l.running.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
-				address := readyVM(cluster, i).CallerAddress()
-				resp, body, err := call{method: "POST", path: fmt.Sprintf("/entretien/bloc-%d", i%40), key: sampleKey}.send(context.Background(), address)
-				sent.Add(1)
+				l.request(t, readyVM(cluster, i).CallerAddress(), i)
 				time.Sleep(40 * time.Millisecond) // stays inside the workspace's rate
-				if err != nil || resp.StatusCode != http.StatusOK {
-					failed.Add(1)
-					t.Log(address, err, string(body))
-				}
 			}
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
-	begin := time.Now()
-	is.NoErr(cluster.StopVM(context.Background(), cluster.VMs[1]))
-	t.Logf("stop took %s", time.Since(begin))
-	time.Sleep(200 * time.Millisecond)
-	stop()
-	running.Wait()
-	is.True(sent.Load() > 0)
-	is.Equal(failed.Load(), int64(0))
+	return l
+}
+
+func (l *load) request(t *testing.T, address string, i int) {
+	resp, body, err := call{method: "POST", path: fmt.Sprintf("/entretien/bloc-%d", i%40), key: sampleKey}.send(context.Background(), address)
+	l.sent.Add(1)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		l.failed.Add(1)
+		t.Log(address, err, string(body))
+	}
+}
+
+// finish stops the load and waits for its last answers.
+func (l *load) finish() {
+	l.stop()
+	l.running.Wait()
 }
 
 // readyVM does what the platform's balancer does: it sends to VMs that say that
