Name the withdrawal of a caller key as the reason of the requests that it ends

Cause: a request in progress when its key was withdrawn got 503 gate-unreachable and Retry-After, because its context was cancelled. Change: the answer is 401 caller-key-withdrawn; the outcome stays what the attempts have shown.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -161,7 +161,21 @@
 	}
 	request.Body = body
 	resp, refusal := h.Dispatcher.Dispatch(ctx, request)
-	return resp, func() { free(); release() }, refusal
+	return resp, func() { free(); release() }, blameWithdrawal(refusal, identity.Withdrawn)
+}
+
+// blameWithdrawal names the withdrawal of the caller key as the reason of a request
+// that it ended. The outcome stays what the attempts have shown.
+func blameWithdrawal(refusal *outcome.Refusal, withdrawn <-chan struct{}) *outcome.Refusal {
+	if refusal == nil || withdrawn == nil {
+		return refusal
+	}
+	select {
+	case <-withdrawn:
+		return &outcome.Refusal{Kind: refusal.Kind, Status: http.StatusUnauthorized, Reason: "caller-key-withdrawn", Detail: "the caller key was withdrawn while the request was in progress"}
+	default:
+		return refusal
+	}
 }
 
 func (h *Handler) authenticate(r *http.Request, w http.ResponseWriter, request *dispatch.Request) (string, Identity, *outcome.Refusal) {
--- a/internal/metrics/reason.go
+++ b/internal/metrics/reason.go
@@ -6,7 +6,7 @@
 // reasons lists the values of the label reason. Backend servers send reasons in a
 // header, so that an open set would let them create any number of series.
 var reasons = makeSet(
-	"", "body-memory", "body-too-large", "bad-request", "caller-key-in-path", "cancelled", "connect",
+	"", "body-memory", "body-too-large", "bad-request", "caller-key-in-path", "caller-key-withdrawn", "cancelled", "connect",
 	"connection-lost", "deadline", "deadline-too-close", "draining", "fence", "gate-answer", "gate-lost",
 	"gate-unknown", "gate-unreachable", "idempotency-holder-moved", "idempotency-key-reused",
 	"idempotency-key-too-long", "in-progress", "incomplete-body", "leaving", "malformed-forward", "moved",
