--- a/internal/vm/parts.go
+++ b/internal/vm/readiness.go
@@ -6,21 +6,10 @@
 
 	"github.com/go-faster/errors"
 
-	"fireflyfield/internal/config"
 	"fireflyfield/internal/ownership"
 	"fireflyfield/internal/quota"
-	"fireflyfield/internal/resource"
 )
 
-// services finds Service resources in the present configuration.
-type services struct{ state *config.State }
-
-// Service implements caller.Services.
-func (s services) Service(name string) (*resource.ServiceSpec, bool) {
-	found, ok := s.state.View().Service(name)
-	return found.Spec, ok
-}
-
 // quotaRecovery is the time after which keepers that all started together lend
 // tokens; before, they would refuse requests inside the rate.
 const quotaRecovery = quota.BatchLifetime + quota.ClockMargin + 200*time.Millisecond
