Ask the former gate at a takeover and free the slot reserved for one that is gone

Cause: at a takeover the newest map already names the new gate, so that no former gate was asked and its requests in flight were not counted; and nothing freed the slot that is reserved for a former gate which does not answer. Change: VMs remember the gate that the map before named; former gates that were silent are asked again every 500 ms and count as gone when they answer, refuse the connection or are off the platform's list.

--- a/internal/vm/peers.go
+++ b/internal/vm/peers.go
@@ -13,7 +13,6 @@
 	"fireflyfield/internal/ownership"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/platform"
-	"fireflyfield/internal/resource"
 )
 
 // errNotAccepted answers a heartbeat that the logic ignored.
@@ -59,8 +58,10 @@
 
 // acceptMap applies a domain map and reports whether it was newer.
 func (v *VM) acceptMap(published ownership.DomainMap) bool {
+	before, _ := v.table.Domain(published.Domain)
 	newer := v.table.UpdateDomain(published)
 	if newer && published.Domain == v.options.FailureDomain {
+		v.roles.formers.note(before, published)
 		go v.assigner.enqueue(v.work, ownership.MapReceived{Term: published.Term, Version: published.Version})
 		v.mapSeen.CompareAndSwap(0, time.Now().UnixNano())
 	}
@@ -127,8 +128,8 @@
 }
 
 // askHandover asks the former gate of the backend server for its state.
-func (v *VM) askHandover(ctx context.Context, id gate.ServerID, server resource.BackendServer) *admission.Takeover {
-	former, ok := v.table.RoleVM(server.FailureDomain, ownership.Role{Kind: ownership.RoleGate, Service: id.Service, Name: id.Name})
+func (v *VM) askHandover(ctx context.Context, id gate.ServerID) *admission.Takeover {
+	former, ok := v.roles.formers.of(id)
 	if !ok || former == v.options.Name {
 		return nil
 	}
@@ -136,6 +137,16 @@
 	if !ok {
 		return &admission.Takeover{}
 	}
+	takeover := v.handoverFrom(ctx, id, address)
+	if takeover.Unreachable {
+		v.roles.formers.setSilent(id, former)
+	}
+	return takeover
+}
+
+// handoverFrom asks the VM at the address. A refused connection proves that its
+// process has ended.
+func (v *VM) handoverFrom(ctx context.Context, id gate.ServerID, address string) *admission.Takeover {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply handoverReply
--- a/internal/vm/roles.go
+++ b/internal/vm/roles.go
@@ -30,6 +30,7 @@
 	closed map[gate.ServerID]closedGate
 	// opening holds the gates that are being opened.
 	opening map[gate.ServerID]bool
+	formers *formers
 }
 
 type closedGate struct {
@@ -38,7 +39,7 @@
 }
 
 func newRoles(v *VM, clock *clock) *roles {
-	return &roles{vm: v, clock: clock, dirty: make(chan struct{}, 1), closed: make(map[gate.ServerID]closedGate), opening: make(map[gate.ServerID]bool)}
+	return &roles{vm: v, clock: clock, dirty: make(chan struct{}, 1), closed: make(map[gate.ServerID]closedGate), opening: make(map[gate.ServerID]bool), formers: newFormers()}
 }
 
 // set takes a new lease. The clock notes it at once, so that gates which are open
@@ -131,7 +132,7 @@
 	if !ok {
 		return
 	}
-	takeover := r.vm.askHandover(ctx, id, server)
+	takeover := r.vm.askHandover(ctx, id)
 	expires, ok := r.leased(id)
 	if !ok {
 		return
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -172,6 +172,7 @@
 	snapshotter := config.NewSnapshotter(v.platform, v.follower, snapshot.DefaultPolicy, v.logger, newRandom())
 	v.background.Go(func() { _ = snapshotter.Run(ctx) }) // ends with the context only
 	v.background.Go(func() { v.roles.run(ctx) })
+	v.background.Go(func() { v.roles.watchFormers(ctx) })
 	v.background.Go(func() { v.followConfig(ctx) })
 	v.background.Go(func() { v.recordConfig(ctx) })
 	v.background.Go(func() { v.exchange(ctx) })
