--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -56,10 +56,7 @@
 	if c.id != "" && uuid.Validate(c.id) != nil {
 		faults = append(faults, "-id is no UUID")
 	}
-	if fs.NArg() > 0 {
-		faults = append(faults, "there are no arguments besides flags")
-	}
-	return faults
+	return append(faults, extraArguments(fs)...)
 }
 
 // Execute implements subcommands.Command.
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -57,10 +57,7 @@
 		faults = append(faults, err.Error())
 	}
 	c.options.Logger = logger
-	if fs.NArg() > 0 {
-		faults = append(faults, "there are no arguments besides flags")
-	}
-	return faults
+	return append(faults, extraArguments(fs)...)
 }
 
 // Execute implements subcommands.Command.
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -92,6 +92,14 @@
 	return commander
 }
 
+// extraArguments returns a fault if there are arguments besides flags.
+func extraArguments(fs *flag.FlagSet) []string {
+	if fs.NArg() == 0 {
+		return nil
+	}
+	return []string{"there are no arguments besides flags"}
+}
+
 // streamsOf returns the streams that Run passed.
 func streamsOf(args []any) Streams { return args[0].(Streams) }
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -65,10 +65,7 @@
 		faults = append(faults, err.Error())
 	}
 	c.options.Logger = logger
-	if fs.NArg() > 0 {
-		faults = append(faults, "there are no arguments besides flags")
-	}
-	return faults
+	return append(faults, extraArguments(fs)...)
 }
 
 // Execute implements subcommands.Command.
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -36,10 +36,7 @@
 	if c.file == "" {
 		faults = append(faults, "-f FILE is missing")
 	}
-	if fs.NArg() > 0 {
-		faults = append(faults, "there are no arguments besides flags")
-	}
-	return faults
+	return append(faults, extraArguments(fs)...)
 }
 
 // Execute implements subcommands.Command.
