Use one constructor for refusals that did not run, and update the keyring only on a change

Cause: the read-through found the same constructor three times, the VM's identity made twice, and the keyring rebuilt from the whole configuration four times a second although nothing had changed. Change: outcome.NotRunRefusal serves all three; the identity is made in one place; updateKeys skips a revision that the keyring has. No change of behaviour; tests of caller, vm, callerkey and three of dev pass.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -23,7 +23,7 @@
 		reserved = r.ContentLength
 	}
 	if !h.bodies.tryAcquire(request.Workspace, reserved) {
-		refusal := notRun(http.StatusServiceUnavailable, "body-memory", "this VM holds too many request bodies, of all workspaces or of this one")
+		refusal := outcome.NotRunRefusal(http.StatusServiceUnavailable, "body-memory", "this VM holds too many request bodies, of all workspaces or of this one")
 		refusal.RetryAfter = time.Second
 		return nil, nil, refusal
 	}
@@ -46,11 +46,11 @@
 		return nil, tooLarge(request.Spec)
 	}
 	if err != nil {
-		return nil, notRun(http.StatusBadRequest, "incomplete-body", "the request body did not arrive whole within the timeout")
+		return nil, outcome.NotRunRefusal(http.StatusBadRequest, "incomplete-body", "the request body did not arrive whole within the timeout")
 	}
 	return body, nil
 }
 
 func tooLarge(spec *resource.ServiceSpec) *outcome.Refusal {
-	return notRun(http.StatusRequestEntityTooLarge, "body-too-large", "the body exceeds the limit of the service: "+formatBytes(spec.MaxBodyBytes))
+	return outcome.NotRunRefusal(http.StatusRequestEntityTooLarge, "body-too-large", "the body exceeds the limit of the service: "+formatBytes(spec.MaxBodyBytes))
 }
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -101,11 +101,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
 func handleNoService(w http.ResponseWriter, _ *http.Request) {
-	notRun(http.StatusNotFound, "no-service", "the path must begin with /SERVICE/").Write(w)
-}
-
-func notRun(status int, reason, detail string) *outcome.Refusal {
-	return &outcome.Refusal{Kind: outcome.NotRun, Status: status, Reason: reason, Detail: detail}
+	outcome.NotRunRefusal(http.StatusNotFound, "no-service", "the path must begin with /SERVICE/").Write(w)
 }
 
 func (h *Handler) handle(w http.ResponseWriter, r *http.Request) {
@@ -182,7 +178,7 @@
 	token, err := callerkey.BearerToken(r.Header)
 	if err != nil {
 		w.Header().Set("WWW-Authenticate", "Bearer")
-		return "", Identity{}, notRun(http.StatusUnauthorized, "no-caller-key", "the header Authorization: Bearer KEY is missing")
+		return "", Identity{}, outcome.NotRunRefusal(http.StatusUnauthorized, "no-caller-key", "the header Authorization: Bearer KEY is missing")
 	}
 	identity, refusal := h.Auth.Authenticate(token, request.Service)
 	if refusal != nil {
@@ -196,7 +192,7 @@
 func (h *Handler) fill(r *http.Request, token string, request *dispatch.Request) *outcome.Refusal {
 	spec, ok := h.Services.Service(request.Service)
 	if !ok {
-		return notRun(http.StatusNotFound, "unknown-service", "service "+request.Service+" does not exist")
+		return outcome.NotRunRefusal(http.StatusNotFound, "unknown-service", "service "+request.Service+" does not exist")
 	}
 	if r.ContentLength > spec.MaxBodyBytes {
 		return tooLarge(spec)
@@ -205,7 +201,7 @@
 	request.Deadline = time.Now().Add(spec.Timeout.Std())
 	request.IdempotencyKey = r.Header.Get("Idempotency-Key")
 	if err := callerkey.Strip(r, token); err != nil {
-		return notRun(http.StatusBadRequest, "caller-key-in-path", "the caller key must not be part of the path")
+		return outcome.NotRunRefusal(http.StatusBadRequest, "caller-key-in-path", "the caller key must not be part of the path")
 	}
 	request.Target = target(r, request.Service)
 	httpheader.RemoveHopByHop(r.Header)
@@ -217,7 +213,7 @@
 	}
 	request.Key = keyOf(r, spec.Key)
 	if request.Key == "" {
-		return notRun(http.StatusBadRequest, "no-key", "the request lacks the key that service "+request.Service+" is divided by")
+		return outcome.NotRunRefusal(http.StatusBadRequest, "no-key", "the request lacks the key that service "+request.Service+" is divided by")
 	}
 	return nil
 }
--- a/internal/caller/record_test.go
+++ b/internal/caller/record_test.go
@@ -31,7 +31,7 @@
 
 func (*parts) Authenticate(token, _ string) (Identity, *outcome.Refusal) {
 	if token != secret {
-		return Identity{}, notRun(http.StatusUnauthorized, "unknown-caller-key", "")
+		return Identity{}, outcome.NotRunRefusal(http.StatusUnauthorized, "unknown-caller-key", "")
 	}
 	return Identity{Workspace: "w"}, nil
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -65,6 +65,12 @@
 	RetryAfter time.Duration
 }
 
+// NotRunRefusal returns a refusal of a request that did not run, without advice to
+// try again.
+func NotRunRefusal(status int, reason, detail string) *Refusal {
+	return &Refusal{Kind: NotRun, Status: status, Reason: reason, Detail: detail}
+}
+
 // Error implements error, so that a refusal can travel through interfaces of the
 // standard library.
 func (r *Refusal) Error() string {
--- a/internal/vm/deduplicate.go
+++ b/internal/vm/deduplicate.go
@@ -37,7 +37,7 @@
 		return d.inner.Dispatch(ctx, r)
 	}
 	if len(r.IdempotencyKey) > maxIdempotencyKey {
-		return nil, notRun(http.StatusBadRequest, "idempotency-key-too-long", "the header Idempotency-Key exceeds 255 bytes")
+		return nil, outcome.NotRunRefusal(http.StatusBadRequest, "idempotency-key-too-long", "the header Idempotency-Key exceeds 255 bytes")
 	}
 	key := idempotency.Key{Workspace: r.Workspace, Value: r.IdempotencyKey}
 	begin := beginCall{
@@ -59,10 +59,6 @@
 	}
 }
 
-func notRun(status int, reason, detail string) *outcome.Refusal {
-	return &outcome.Refusal{Kind: outcome.NotRun, Status: status, Reason: reason, Detail: detail}
-}
-
 // begin asks the holder. A repeat that comes during the first request waits for
 // the end of it.
 func (d *deduplicator) begin(ctx context.Context, r *dispatch.Request, call beginCall) (idempotencyReply, *outcome.Refusal) {
@@ -91,7 +87,7 @@
 			Detail: "the first request with this Idempotency-Key has not ended", RetryAfter: time.Second,
 		}
 	}
-	refusal := notRun(http.StatusServiceUnavailable, "no-idempotency-holder", "the memory of idempotency keys can't be reached")
+	refusal := outcome.NotRunRefusal(http.StatusServiceUnavailable, "no-idempotency-holder", "the memory of idempotency keys can't be reached")
 	refusal.RetryAfter = time.Second
 	return refusal
 }
@@ -99,18 +95,18 @@
 func refuseRepeat(reply idempotencyReply) *outcome.Refusal {
 	switch {
 	case reply.Outcome == idempotency.Mismatch:
-		return notRun(http.StatusUnprocessableEntity, "idempotency-key-reused", "the Idempotency-Key was used with another request")
+		return outcome.NotRunRefusal(http.StatusUnprocessableEntity, "idempotency-key-reused", "the Idempotency-Key was used with another request")
 	case reply.Outcome == idempotency.Unknown:
 		return &outcome.Refusal{
 			Kind: outcome.Unknown, Status: http.StatusConflict, Reason: "result-unknown",
 			Detail: "a request with this Idempotency-Key may have run and its answer is not known",
 		}
 	case reply.Reason == idempotency.ReasonTooManyKeys:
-		refusal := notRun(http.StatusTooManyRequests, "too-many-idempotency-keys", "the workspace has used too many idempotency keys within 10 minutes")
+		refusal := outcome.NotRunRefusal(http.StatusTooManyRequests, "too-many-idempotency-keys", "the workspace has used too many idempotency keys within 10 minutes")
 		refusal.RetryAfter = time.Minute
 		return refusal
 	default:
-		refusal := notRun(http.StatusServiceUnavailable, "idempotency-holder-moved", "the memory of idempotency keys is moving")
+		refusal := outcome.NotRunRefusal(http.StatusServiceUnavailable, "idempotency-holder-moved", "the memory of idempotency keys is moving")
 		refusal.RetryAfter = time.Second
 		return refusal
 	}
--- a/internal/vm/keys.go
+++ b/internal/vm/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"fireflyfield/internal/caller"
@@ -25,24 +26,35 @@
 	case callerkey.Admitted:
 		return caller.Identity{Workspace: admission.Workspace, Withdrawn: admission.Withdrawn}, nil
 	case callerkey.ServiceNotAllowed:
-		return caller.Identity{}, keyRefusal(http.StatusForbidden, "service-not-allowed", "the caller key may not call this service")
+		return caller.Identity{}, outcome.NotRunRefusal(http.StatusForbidden, "service-not-allowed", "the caller key may not call this service")
 	case callerkey.Stale:
-		refusal := keyRefusal(http.StatusServiceUnavailable, "stale-caller-keys", "this VM can't tell whether its caller keys are current")
+		refusal := outcome.NotRunRefusal(http.StatusServiceUnavailable, "stale-caller-keys", "this VM can't tell whether its caller keys are current")
 		refusal.RetryAfter = callerkey.StaleAfter
 		return caller.Identity{}, refusal
 	default:
-		return caller.Identity{}, keyRefusal(http.StatusUnauthorized, "unknown-caller-key", "the caller key is not valid")
+		return caller.Identity{}, outcome.NotRunRefusal(http.StatusUnauthorized, "unknown-caller-key", "the caller key is not valid")
 	}
 }
 
-func keyRefusal(status int, reason, detail string) *outcome.Refusal {
-	return &outcome.Refusal{Kind: outcome.NotRun, Status: status, Reason: reason, Detail: detail}
+// appliedKeys is the revision of the configuration whose keys the keyring has.
+type appliedKeys struct {
+	mu       sync.Mutex
+	known    bool
+	revision uint64
 }
 
-// updateKeys gives the keyring the keys of the configuration.
+// updateKeys gives the keyring the keys of the configuration, unless it has them.
+// When it returns, the keyring holds the keys of this revision or a later one.
 func (v *VM) updateKeys(view *config.View) {
+	v.applied.mu.Lock()
+	defer v.applied.mu.Unlock()
+	if v.applied.known && v.applied.revision >= view.Revision() {
+		return
+	}
 	resources := append([]resource.Resource(nil), view.List(resource.KindWorkspace)...)
 	v.keyring.Update(view.Revision(), append(resources, view.List(resource.KindCallerKey)...))
+	v.applied.known = true
+	v.applied.revision = view.Revision()
 }
 
 // confirmKeys tells the keyring how current the configuration is and cuts streams
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -40,6 +40,7 @@
 	control    *control
 	roles      *roles
 	keyring    *callerkey.Keyring
+	applied    appliedKeys
 	quotas     *quotas
 	loads      *loads
 	partitions *partitions
@@ -82,15 +83,14 @@
 }
 
 func newVM(options Options) *VM {
-	identity := peer.Identity{Version: peer.Version, VM: options.Name, Instance: options.Instance, FailureDomain: options.FailureDomain}
 	v := &VM{
 		options:  options,
 		logger:   options.Logger.With(zap.String("vm", options.Name)),
 		platform: platform.NewClient(options.Platform),
 		fleet:    newFleet(),
 		table:    ownership.NewTable(),
-		calls:    peer.NewClient(identity, options.PeerToken),
 	}
+	v.calls = peer.NewClient(v.identity(), options.PeerToken)
 	v.operatorState = newOperatorState(v)
 	v.follower = config.NewFollower(v.platform, config.NewState(), v.logger, newRandom())
 	clock := newClock()
