--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -18,6 +18,7 @@
 		&deleteCommand{},
 		&validateCommand{},
 		&serveCommand{},
+		&routeCommand{},
 		&devCommand{},
 		&standinCommand{},
 		&reportCommand{},
--- /dev/null
+++ b/internal/cli/route.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"fireflyfield/internal/decisionlog"
+	"fireflyfield/internal/router"
+	"fireflyfield/platform"
+)
+
+const (
+	// memoryPart is the part of the memory limit at which the garbage collector works
+	// harder; the rest is for the kernel's buffers and for peaks.
+	memoryPart = 0.6
+	// garbagePercent lets the heap grow before a collection: the heap is small, and
+	// processor time is scarcer than memory.
+	garbagePercent = 200
+)
+
+// routeCommand runs one VM on the platform.
+type routeCommand struct {
+	settings string
+	logLevel string
+}
+
+// Name implements subcommands.Command.
+func (*routeCommand) Name() string { return "route" }
+
+// Synopsis implements subcommands.Command.
+func (*routeCommand) Synopsis() string { return "run one VM on the users' platform" }
+
+// Usage implements subcommands.Command.
+func (*routeCommand) Usage() string {
+	return `route [-settings FILE] [-log-level LEVEL]:
+  Runs one VM with the platform's settings file until SIGINT or SIGTERM, then
+  stops gracefully. Logs go to standard output as JSON lines.
+  Example: fireflyfield route -settings /etc/fireflyfield/local.conf
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *routeCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "settings file of the platform; the default is in "+platform.SettingsVariable)
+	fs.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
+}
+
+// Check implements Checker.
+func (c *routeCommand) Check(fs *flag.FlagSet) []string {
+	faults := extraArguments(fs)
+	if c.settings == "" {
+		faults = append(faults, "-settings: a file is needed")
+	}
+	if _, err := zapcore.ParseLevel(c.logLevel); err != nil {
+		faults = append(faults, "-log-level: "+err.Error())
+	}
+	return faults
+}
+
+// Execute implements subcommands.Command.
+func (c *routeCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	streams := streamsOf(args)
+	settings, err := platform.ReadSettings(c.settings)
+	if err != nil {
+		return fail(streams, err)
+	}
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
+	level, err := zapcore.ParseLevel(c.logLevel)
+	if err != nil {
+		return fail(streams, err)
+	}
+	writer := decisionlog.NewWriter(streams.Out)
+	logger := decisionlog.NewLogger(writer, level).With(zap.String("vm", settings.VM))
+	r, err := router.New(platform.RouterOptions(settings, uuid.NewString(), logger))
+	if err != nil {
+		return fail(streams, err)
+	}
+	if err := r.Run(ctx); err != nil {
+		logger.Error("the VM failed", zap.Error(err))
+		return fail(streams, err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,34 @@
+// Package clock reads a clock that also counts the time during which the machine
+// is suspended, so that leases end on time.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock returns the time since a fixed point. It never goes back and also runs
+// while the machine is suspended.
+type Clock interface {
+	Now() time.Duration
+}
+
+// System is the clock of the operating system.
+type System struct{}
+
+// Now implements Clock. The monotonic clock of the standard library stops during a
+// suspend, the boot-time clock does not.
+func (System) Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock: the boot-time clock cannot be read: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Fake is a clock for tests.
+type Fake struct{ Time time.Duration }
+
+// Now implements Clock.
+func (f *Fake) Now() time.Duration { return f.Time }
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,276 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fireflyfield/internal/httpheader"
+	"fireflyfield/internal/upstream"
+)
+
+const (
+	// ownerWait bounds the wait for a key that has no owner, as a part of the time
+	// that the request has.
+	ownerWaitPart = 3
+	// ownerPause is the time between tries at an owner that refused a key: its grant
+	// may be under way.
+	ownerPause = 40 * time.Millisecond
+	// ownerTries bounds the tries at owners that refuse the key.
+	ownerTries = 3
+	// leastTime is the least time for which an attempt is worth while.
+	leastTime = 10 * time.Millisecond
+)
+
+// run makes attempts until one gives the final answer.
+func (f *Forwarder) run(ctx, attempts context.Context, fl *flight) *Answer {
+	name := f.target(fl.route)
+	fl.event.Service = name
+	fl.service = fl.view.Config.Service(name)
+	if fl.service == nil {
+		return f.refuse(fl, http.StatusServiceUnavailable, "service-unknown")
+	}
+	f.budget(name).Request(time.Unix(0, int64(f.Clock.Now())))
+	if fl.service.Keyed {
+		if fl.call.Key == NoKey {
+			return f.reject(fl, http.StatusBadRequest, "key-missing")
+		}
+		f.countKey(name, fl.call.Key)
+	}
+	for number := 1; ; number++ {
+		if ctx.Err() != nil && !fl.sent {
+			return f.refuse(fl, http.StatusServiceUnavailable, "caller-left")
+		}
+		answer, retriable := f.attempt(ctx, attempts, fl)
+		if answer != nil {
+			return answer
+		}
+		if !retriable || !f.mayRetry(fl, number) {
+			return f.giveUp(fl)
+		}
+	}
+}
+
+// mayRetry decides on one more attempt.
+func (f *Forwarder) mayRetry(fl *flight, number int) bool {
+	now := f.Clock.Now()
+	if fl.deadline-now < leastTime {
+		fl.event.Reason = "no-time"
+		return false
+	}
+	limit := fl.route.MaxAttempts
+	if fl.service.Keyed {
+		limit = max(limit, ownerTries)
+	}
+	if number >= limit {
+		fl.event.Reason = "attempts-used"
+		return false
+	}
+	if !f.budget(fl.service.Name).Take(time.Unix(0, int64(now))) {
+		fl.event.Reason = "retry-budget"
+		return false
+	}
+	return true
+}
+
+// giveUp returns the answer after the last attempt.
+func (f *Forwarder) giveUp(fl *flight) *Answer {
+	reason := fl.event.Reason
+	if fl.last != nil {
+		return fl.last
+	}
+	switch {
+	case fl.unknown && f.Clock.Now() >= fl.deadline:
+		return f.reject(fl, http.StatusGatewayTimeout, "timeout")
+	case fl.unknown:
+		return f.reject(fl, http.StatusBadGateway, "outcome-unknown")
+	}
+	return f.refuse(fl, http.StatusServiceUnavailable, reason)
+}
+
+// attempt sends the request to one backend server. It returns the final answer, or
+// whether another attempt may be made.
+func (f *Forwarder) attempt(ctx, attempts context.Context, fl *flight) (*Answer, bool) {
+	b, answer := f.choose(ctx, fl)
+	if answer != nil {
+		if fl.unknown || fl.last != nil {
+			return f.giveUp(fl), false
+		}
+		return answer, false
+	}
+	now := f.Clock.Now()
+	left := fl.deadline - now
+	event := AttemptEvent{Backend: b.ID, At: now - fl.request.Received}
+	header := f.outbound(fl)
+	workspace := ""
+	if fl.owner != nil {
+		workspace = fl.owner.Name
+	}
+	f.Protocol.SetAttempt(header, AttemptHeaders{RequestID: fl.call.ID, Instance: b.ID, TimeLeft: left, Workspace: workspace})
+	result := b.pool.Do(attempts, &upstream.Request{
+		ID: fl.call.ID, Method: fl.request.Method, Target: fl.request.Target, Host: fl.request.Host,
+		Header: header, Body: fl.request.Body, HasBody: fl.request.HasBody,
+	})
+	event.Took, event.Reused = f.Clock.Now()-now, result.Reused
+	fl.tried = append(fl.tried, b.ID)
+	answer, retriable := f.classify(attempts, fl, b, result, &event)
+	fl.event.Attempts = append(fl.event.Attempts, event)
+	return answer, retriable
+}
+
+// classify decides what a result means for the request and for the state of the
+// backend server.
+func (f *Forwarder) classify(ctx context.Context, fl *flight, b *backend, result upstream.Result, event *AttemptEvent) (*Answer, bool) {
+	switch result.Fate {
+	case upstream.FateNotSent:
+		event.Detail = "not sent: " + result.Err.Error()
+		f.ended(fl, b, func(now time.Duration) {
+			if ctx.Err() == nil {
+				b.broken(now, fl.service.ColdFor)
+			}
+		})
+		fl.event.Reason = "not-sent"
+		return nil, ctx.Err() == nil
+	case upstream.FateUnknown:
+		event.Detail = result.Err.Error()
+		fl.sent, fl.unknown = true, true
+		f.ended(fl, b, func(now time.Duration) {
+			switch {
+			case ctx.Err() != nil:
+				b.result(f.Clock.Now() >= fl.deadline, now)
+			case !result.Reused:
+				b.broken(now, fl.service.ColdFor)
+			default:
+				b.result(true, now)
+			}
+		})
+		return nil, fl.route.Idempotent && ctx.Err() == nil
+	}
+	return f.answered(fl, b, result, event)
+}
+
+// ended counts the end of a request at a backend server and applies a change.
+func (f *Forwarder) ended(fl *flight, b *backend, change func(now time.Duration)) {
+	f.Servers.update(func(now time.Duration) {
+		b.own--
+		change(now)
+	})
+}
+
+// answered handles a complete response.
+func (f *Forwarder) answered(fl *flight, b *backend, result upstream.Result, event *AttemptEvent) (*Answer, bool) {
+	response := result.Response
+	parsed := f.Protocol.ParseAnswer(response.Status, response.Header)
+	event.Result = response.Status
+	failed := response.Status >= http.StatusInternalServerError
+	usual := f.usual(fl.route)
+	f.ended(fl, b, func(now time.Duration) {
+		if parsed.HasLoad {
+			b.report(parsed.Load, now)
+		}
+		switch {
+		case parsed.NotOwner:
+		case parsed.NotRun:
+			b.shed(now)
+		case failed:
+			b.result(true, now)
+		default:
+			b.answered(float64(event.Took)/float64(max(usual, time.Millisecond)), now)
+		}
+	})
+	if parsed.NotRun {
+		event.Detail = "not run"
+		return f.notRun(fl, parsed)
+	}
+	fl.sent = true
+	if !parsed.Signed && response.Status < http.StatusMultipleChoices {
+		event.Detail = "response without signature"
+		fl.unknown = true
+		return nil, fl.route.Idempotent
+	}
+	answer := f.pass(response)
+	if failed && fl.route.Idempotent {
+		// Another backend server may succeed.
+		fl.last = answer
+		return nil, true
+	}
+	if !failed {
+		f.observe(fl.route, event.Took)
+	}
+	fl.event.Reason = ""
+	return answer, false
+}
+
+// notRun handles a response that states that the request did not run.
+func (f *Forwarder) notRun(fl *flight, parsed AnswerHeaders) (*Answer, bool) {
+	fl.event.Reason = "backend-refused"
+	if fl.service.Keyed && parsed.NotOwner {
+		fl.event.Reason = "not-owner"
+		fl.tried = fl.tried[:0]
+		f.awaitOwners(fl, ownerPause)
+	}
+	return nil, true
+}
+
+// pass returns the answer that hands on a backend server's response.
+func (f *Forwarder) pass(response *upstream.Response) *Answer {
+	header := response.Header
+	httpheader.RemoveHopByHop(header)
+	header.Del("Content-Length")
+	return &Answer{Status: response.Status, Header: header, Body: response.Body}
+}
+
+// choose picks the backend server of the next attempt, or returns the answer to a
+// request that none may get.
+func (f *Forwarder) choose(ctx context.Context, fl *flight) (*backend, *Answer) {
+	if fl.service.Keyed {
+		return f.chooseOwner(ctx, fl)
+	}
+	b, reason := f.Servers.pick(f.Directory.View(), fl.service, fl.tried, f.usual(fl.route), fl.deadline-f.Clock.Now())
+	if reason != pickedNone {
+		return nil, f.refuse(fl, http.StatusServiceUnavailable, string(reason))
+	}
+	return b, nil
+}
+
+// chooseOwner returns the owner of the request's key. While the key has none, it
+// waits for a part of the request's time.
+func (f *Forwarder) chooseOwner(ctx context.Context, fl *flight) (*backend, *Answer) {
+	started := f.Clock.Now()
+	until := started + (fl.deadline-started)/ownerWaitPart
+	for {
+		tableChanged, viewChanged := f.Table.Changed(), f.Directory.Changed()
+		reason := pickNoServer
+		if entry := f.Table.Find(fl.service.Name, fl.call.Key); entry != nil && entry.Backend != "" && !entry.Moving {
+			var b *backend
+			if b, reason = f.Servers.owner(f.Directory.View(), entry.Backend, fl.service); b != nil {
+				fl.event.Waited += f.Clock.Now() - started
+				return b, nil
+			}
+		}
+		now := f.Clock.Now()
+		if now >= until || ctx.Err() != nil {
+			fl.event.Waited += now - started
+			return nil, f.refuse(fl, http.StatusServiceUnavailable, "owner-"+string(reason))
+		}
+		wait(ctx, min(until-now, ownerPause), tableChanged, viewChanged)
+	}
+}
+
+// awaitOwners waits for a change of the owners, for at most d.
+func (f *Forwarder) awaitOwners(fl *flight, d time.Duration) {
+	started := f.Clock.Now()
+	wait(context.Background(), d, f.Table.Changed(), nil)
+	fl.event.Waited += f.Clock.Now() - started
+}
+
+func wait(ctx context.Context, d time.Duration, a, b <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-a:
+	case <-b:
+	}
+}
--- /dev/null
+++ b/internal/forward/backend.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"fireflyfield/internal/directory"
+	"fireflyfield/internal/upstream"
+)
+
+const (
+	// speedGain is the weight of one observation of a backend server's speed.
+	speedGain = 0.08
+	// failureLife is how fast a failure is forgotten.
+	failureLife = 3 * time.Second
+	// failureGain is the weight of one result in the share of failures.
+	failureGain = 0.25
+	// firstPause and lastPause bound the time without requests after connections to
+	// a backend server failed.
+	firstPause = 250 * time.Millisecond
+	lastPause  = 2 * time.Second
+	// othersGain is the weight of one report in the mean of other VMs' requests.
+	othersGain = 0.1
+	// minSpeed and maxSpeed bound the estimate of a backend server's speed.
+	minSpeed, maxSpeed = 0.4, 6
+)
+
+// backend is the state of one backend server at this VM. Its fields are guarded by
+// the lock of Servers.
+type backend struct {
+	directory.Backend
+	pool *upstream.Pool
+
+	own        int
+	others     float64
+	othersMean float64
+	slowness   float64
+	reportAt   time.Duration
+	speed      float64
+	failures   float64
+	failuresAt time.Duration
+	// pausedUntil is when requests may go there again after connection failures.
+	pausedUntil time.Duration
+	pause       time.Duration
+	// coldUntil is when the backend server counts as warm, by its entry or after a
+	// loss of its connections.
+	coldUntil time.Duration
+	nextCold  time.Duration // earliest time of the next request while cold
+	local     bool
+}
+
+func (b *backend) standing(now time.Duration) Standing {
+	return Standing{
+		Slots: b.Slots, Own: b.own, Others: b.others, OthersMean: b.othersMean,
+		Slowness: b.slowness, ReportAge: now - b.reportAt, Speed: b.speed,
+		Failures: b.failureShare(now), Remote: !b.local,
+	}
+}
+
+func (b *backend) failureShare(now time.Duration) float64 {
+	return b.failures * math.Exp(-float64(now-b.failuresAt)/float64(failureLife))
+}
+
+// report takes the load that a response carries.
+func (b *backend) report(load Load, now time.Duration) {
+	others := max(0, float64(load.Running+load.Waiting-b.own))
+	b.others = others
+	b.othersMean += othersGain * (others - b.othersMean)
+	b.slowness = load.Slowness
+	b.reportAt = now
+}
+
+// shed notes that the backend server had no room.
+func (b *backend) shed(now time.Duration) {
+	b.others = max(b.others, queueFactor*float64(b.Slots)-float64(b.own))
+	b.reportAt = now
+	b.result(true, now)
+}
+
+// result notes whether a request failed.
+func (b *backend) result(failed bool, now time.Duration) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	share := b.failureShare(now)
+	b.failures = share + failureGain*(value-share)
+	b.failuresAt = now
+}
+
+// answered notes a latency relative to the usual one.
+func (b *backend) answered(relative float64, now time.Duration) {
+	relative = min(maxSpeed, max(minSpeed, relative))
+	b.speed += speedGain * (relative - b.speed)
+	b.pause = 0
+	b.pausedUntil = 0
+	b.result(false, now)
+}
+
+// broken notes that a connection could not be made or broke. A backend server that
+// restarted is cold, and its entry tells so only later.
+func (b *backend) broken(now, coldFor time.Duration) {
+	b.result(true, now)
+	b.pause = min(lastPause, max(firstPause, 2*b.pause))
+	b.pausedUntil = now + b.pause
+	b.coldUntil = max(b.coldUntil, now+coldFor)
+}
--- /dev/null
+++ b/internal/forward/event.go
@@ -0,0 +1,43 @@
+package forward
+
+import "time"
+
+// Event is what decided a request and how it ended.
+type Event struct {
+	ID            string
+	Route         string
+	Service       string
+	Workspace     string
+	Key           int
+	ConfigVersion int64
+	ConfigAge     time.Duration
+	// Reason says why this VM answered by itself; empty for a backend server's answer.
+	Reason   string
+	Status   int
+	Received time.Duration
+	Took     time.Duration
+	Waited   time.Duration // for the owner of a key that was moving
+	Attempts []AttemptEvent
+}
+
+// AttemptEvent is one attempt at a backend server.
+type AttemptEvent struct {
+	Backend string
+	// Result is the status of the response, or 0 without one.
+	Result int
+	// Detail says what happened without a response, or that it did not run.
+	Detail string
+	At     time.Duration // since the request was received
+	Took   time.Duration
+	Reused bool
+	// Fence is the fencing token of the owner that was chosen; 0 for services without keys.
+	Fence int64
+	// Busy and ReportAge are the estimated load at the choice and its age.
+	Busy      float64
+	ReportAge time.Duration
+}
+
+// Observer is told about requests. It must not block.
+type Observer interface {
+	Request(*Event)
+}
--- /dev/null
+++ b/internal/forward/servers.go
@@ -0,0 +1,217 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/directory"
+	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/upstream"
+)
+
+// ColdLimits bound what all VMs together may send to a cold backend server in one
+// second: Factor times its rate, plus Slack.
+type ColdLimits struct{ Factor, Slack float64 }
+
+const (
+	// coldSafety is the part of the bound of a cold backend server that is used.
+	coldSafety = 0.75
+	// coldWindow is the window of that bound.
+	coldWindow = time.Second
+	// coldGuard is added to the window, for requests that arrive earlier or later
+	// than they were sent.
+	coldGuard = 30 * time.Millisecond
+)
+
+// Servers holds the state of all backend servers at this VM. It is safe for
+// concurrent use; its lock comes before those of the pools.
+type Servers struct {
+	clock     clock.Clock
+	domain    string
+	cold      ColdLimits
+	responder upstream.Responder
+	vms       func() int
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	byID      map[string]*backend
+	byService map[string][]*backend
+	view      *directory.View
+}
+
+// NewServers returns the state of a VM in the failure domain. vms is the number of
+// VMs that share cold backend servers.
+func NewServers(c clock.Clock, domain string, cold ColdLimits, responder upstream.Responder, random *rand.Rand, vms func() int) *Servers {
+	return &Servers{
+		clock: c, domain: domain, cold: cold, responder: responder, random: random, vms: vms,
+		byID: make(map[string]*backend), byService: make(map[string][]*backend),
+	}
+}
+
+// sync takes a new view. The caller holds the lock.
+func (s *Servers) sync(view *directory.View) {
+	if view == s.view {
+		return
+	}
+	s.view = view
+	for id, known := range s.byID {
+		listed, ok := view.Backends[id]
+		if !ok || listed.Address != known.Address || listed.Started != known.Started {
+			known.pool.Close()
+			delete(s.byID, id)
+		}
+	}
+	clear(s.byService)
+	for id, listed := range view.Backends {
+		known := s.byID[id]
+		if known == nil {
+			known = &backend{
+				pool: upstream.NewPool(listed.Address, s.clock, s.responder), slowness: 1, speed: 1,
+				local: listed.Domain == s.domain,
+			}
+			s.byID[id] = known
+		}
+		if listed.Updated > known.Updated {
+			known.coldUntil = max(listed.ColdUntil, 0)
+		}
+		known.coldUntil = max(known.coldUntil, listed.ColdUntil)
+		known.Backend = listed
+		if view.Usable(&listed) {
+			s.byService[listed.Service] = append(s.byService[listed.Service], known)
+		}
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b *backend) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+// pickReason says why no backend server was picked.
+type pickReason string
+
+const (
+	pickedNone    pickReason = ""
+	pickNoServer  pickReason = "no-backend"
+	pickAllFull   pickReason = "backends-full"
+	pickTooLate   pickReason = "no-time"
+	pickColdLimit pickReason = "backends-cold"
+)
+
+// pick chooses the backend server with the least cost and counts the request there.
+func (s *Servers) pick(view *directory.View, service *fleet.Service, tried []string, usual, left time.Duration) (*backend, pickReason) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync(view)
+	best, reason := s.cheapest(service, tried, now, usual, left, false)
+	if best == nil && reason == pickNoServer {
+		best, reason = s.cheapest(service, tried, now, usual, left, true)
+	}
+	if best == nil {
+		return nil, reason
+	}
+	s.count(best, service, now)
+	return best, pickedNone
+}
+
+// cheapest returns the backend server with the least cost. With paused set, those
+// whose connections failed lately are taken too.
+func (s *Servers) cheapest(service *fleet.Service, tried []string, now, usual, left time.Duration, paused bool) (*backend, pickReason) {
+	var best *backend
+	lowest := 0.0
+	reason := pickNoServer
+	for _, b := range s.byService[service.Name] {
+		if slices.Contains(tried, b.ID) || !paused && now < b.pausedUntil {
+			continue
+		}
+		standing := b.standing(now)
+		switch {
+		case now < b.coldUntil && now < b.nextCold:
+			reason = pickColdLimit
+			continue
+		case standing.Full():
+			reason = pickAllFull
+			continue
+		case standing.Expected(usual) > left:
+			reason = pickTooLate
+			continue
+		}
+		cost := standing.Cost() * (1 + 0.1*s.random.Float64())
+		if best == nil || cost < lowest {
+			best, lowest = b, cost
+		}
+	}
+	return best, reason
+}
+
+// count notes a request that is about to be sent.
+func (s *Servers) count(b *backend, service *fleet.Service, now time.Duration) {
+	b.own++
+	if now < b.coldUntil {
+		b.nextCold = now + s.coldSpacing(service)
+	}
+}
+
+// coldSpacing is the time between this VM's requests to a cold backend server. In
+// any window each VM sends at most as many as its part of the bound.
+func (s *Servers) coldSpacing(service *fleet.Service) time.Duration {
+	bound := (service.ColdRate*s.cold.Factor + s.cold.Slack) * coldSafety
+	part := bound / float64(max(1, s.vms()))
+	if whole := int(part); whole >= 1 {
+		return (coldWindow + coldGuard) / time.Duration(whole)
+	}
+	return time.Duration(float64(coldWindow+coldGuard) / max(part, 0.01))
+}
+
+// owner counts a request at a given backend server, for keyed services.
+func (s *Servers) owner(view *directory.View, id string, service *fleet.Service) (*backend, pickReason) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync(view)
+	b := s.byID[id]
+	if b == nil || !view.Usable(&b.Backend) {
+		return nil, pickNoServer
+	}
+	if now < b.coldUntil && now < b.nextCold {
+		return nil, pickColdLimit
+	}
+	s.count(b, service, now)
+	return b, pickedNone
+}
+
+// update runs a change of one backend server's state under the lock.
+func (s *Servers) update(change func(now time.Duration)) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(now)
+}
+
+// ExpireIdle closes connections that were idle for too long.
+func (s *Servers) ExpireIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.byID {
+		b.pool.Expire()
+	}
+}
+
+// Dials is the number of connections that were opened to backend servers that are
+// listed now.
+func (s *Servers) Dials() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, b := range s.byID {
+		sum += b.pool.Dials()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/keylease/lessor.go
@@ -0,0 +1,403 @@
+package keylease
+
+import (
+	"bytes"
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/directory"
+	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/sharedlog"
+)
+
+const (
+	// topicWait is how long a read of the topic waits for a record.
+	topicWait = 1500 * time.Millisecond
+	// holderTick and memberTick are the times between steps without an event.
+	holderTick = 100 * time.Millisecond
+	memberTick = 250 * time.Millisecond
+	// claimSpread spreads the claims of several VMs.
+	claimSpread = 250 * time.Millisecond
+	// grantTimeout bounds a grant call, which is answered at once.
+	grantTimeout = 700 * time.Millisecond
+	// releaseTimeout bounds a release call, which is answered when the work that
+	// runs on the range has ended.
+	releaseTimeout = 1600 * time.Millisecond
+	// appendRetry is the time between attempts to append while the log fails.
+	appendRetry = 250 * time.Millisecond
+)
+
+// errDeposed reports that another VM holds the lease.
+var errDeposed = errors.New("another VM holds the lease on assignments")
+
+// Lessor takes the lease on assignments when it is free, and then grants key
+// ranges. Each VM runs one.
+type Lessor struct {
+	Log      sharedlog.Log
+	Topic    string
+	Granter  Granter
+	Clock    clock.Clock
+	Table    *Table
+	Instance string
+	Logger   *zap.Logger
+	// Input returns what is known of the fleet; false while nothing is.
+	Input func() (Input, bool)
+	// Wake returns a channel that is closed when the input changes.
+	Wake func() <-chan struct{}
+	// Beat returns the content of the next beat, which all VMs get.
+	Beat func() []byte
+	// OnBeat gets each beat that was read.
+	OnBeat func(content []byte)
+	// OnHold is told when this VM takes or loses the lease.
+	OnHold func(held bool)
+
+	held      *holding
+	results   chan result
+	appends   chan appended
+	claiming  bool
+	stopping  chan struct{}
+	stopped   chan struct{}
+	claimFrom time.Duration
+}
+
+// holding is the state while this VM holds the lease.
+type holding struct {
+	core      *Core
+	end       int64         // offset at which the topic ends
+	confirmed time.Duration // send time of the last accepted append
+	appending bool
+	nextBeat  time.Duration
+	nextTry   time.Duration
+}
+
+type result struct {
+	call     Call
+	handover string
+	err      error
+	from     *holding
+}
+
+type appended struct {
+	from    *holding
+	version int64
+	claim   bool
+	sent    time.Duration
+	end     int64
+	err     error
+}
+
+// Run works until ctx ends. Stop gives the lease back before.
+func (l *Lessor) Run(ctx context.Context) {
+	l.results = make(chan result, 64)
+	l.appends = make(chan appended, 4)
+	l.stopped = make(chan struct{})
+	defer close(l.stopped)
+	go directory.Follow(ctx, l.Log, directory.Follower{
+		Topic: l.Topic, Wait: topicWait, Log: l.Logger, Now: l.Clock.Now,
+		Apply: func(b sharedlog.Batch, _ bool, sent time.Duration) {
+			if beat := l.Table.apply(b, sent, l.Clock.Now()); beat != nil {
+				l.OnBeat(beat)
+			}
+		},
+	})
+	for ctx.Err() == nil {
+		l.step(ctx)
+		l.wait(ctx)
+	}
+}
+
+// Prepare must be called before Run and Stop.
+func (l *Lessor) Prepare() { l.stopping = make(chan struct{}) }
+
+// Stop gives the lease back, so that another VM takes it at once.
+func (l *Lessor) Stop() { close(l.stopping) }
+
+func (l *Lessor) isStopping() bool {
+	select {
+	case <-l.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// wait blocks until something happened.
+func (l *Lessor) wait(ctx context.Context) {
+	tick := memberTick
+	var wake <-chan struct{}
+	if l.held != nil {
+		tick, wake = holderTick, l.Wake()
+	}
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-wake:
+	case <-l.Table.Changed():
+	case r := <-l.results:
+		l.finish(r)
+	case a := <-l.appends:
+		l.finishAppend(a)
+	}
+}
+
+func (l *Lessor) finish(r result) {
+	if r.from != l.held || l.held == nil {
+		return
+	}
+	now := l.Clock.Now()
+	if r.err != nil {
+		l.Logger.Warn("call for a key range failed", zap.String("backend", r.call.Backend), zap.Uint8("kind", uint8(r.call.Kind)),
+			zap.Stringer("range", r.call.Grant.Range), zap.Int64("fence", r.call.Grant.Fence), zap.Error(r.err))
+	}
+	l.held.core.Done(r.call, r.handover, r.err, now)
+}
+
+func (l *Lessor) step(ctx context.Context) {
+	now := l.Clock.Now()
+	if l.held == nil {
+		l.claimIfFree(ctx, now)
+		return
+	}
+	if l.Table.holder() != l.Instance && l.tableIsNewer() {
+		l.lose(errDeposed)
+		return
+	}
+	if l.isStopping() {
+		l.resign(ctx)
+		return
+	}
+	l.stepHolder(ctx, now)
+}
+
+// tableIsNewer reports whether the table has read past this VM's own appends.
+func (l *Lessor) tableIsNewer() bool {
+	_, next := l.Table.silent(0)
+	return next >= l.held.end
+}
+
+func (l *Lessor) stepHolder(ctx context.Context, now time.Duration) {
+	h := l.held
+	if in, ok := l.Input(); ok && now-h.confirmed < Authority {
+		for _, call := range h.core.Step(now, in) {
+			l.send(ctx, call)
+		}
+	}
+	due := now >= h.nextBeat || h.core.Version() > h.core.accepted
+	if due && !h.appending && now >= h.nextTry {
+		l.appendState(ctx, now)
+	}
+}
+
+func (l *Lessor) send(ctx context.Context, call Call) {
+	held := l.held
+	go func() {
+		r := result{call: call, from: held}
+		if call.Kind == CallRelease {
+			ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+			defer cancel()
+			r.handover, r.err = l.Granter.Release(ctx, call.Address, call.Grant)
+		} else {
+			ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+			defer cancel()
+			r.err = l.Granter.Grant(ctx, call.Address, call.Grant)
+		}
+		select {
+		case l.results <- r:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// appendState records the newest assignment, if it changed, and a beat.
+func (l *Lessor) appendState(ctx context.Context, now time.Duration) {
+	h := l.held
+	version := h.core.Version()
+	var records []sharedlog.Record
+	if version > h.core.accepted {
+		content, err := h.core.State().Encode()
+		if err != nil {
+			l.Logger.Error("assignment cannot be encoded", zap.Error(err))
+			return
+		}
+		records = append(records, sharedlog.Record{Key: keyAssignment, Value: content})
+	}
+	if now >= h.nextBeat {
+		records = append(records, sharedlog.Record{Key: keyBeat, Value: l.Beat()})
+		h.nextBeat = now + BeatInterval
+	}
+	h.appending = true
+	l.append(ctx, h, records, h.end, appended{from: h, version: version, sent: now})
+}
+
+// append runs one conditional append and reports its result to the loop.
+func (l *Lessor) append(ctx context.Context, h *holding, records []sharedlog.Record, at int64, a appended) {
+	go func() {
+		a.end, a.err = l.Log.Append(ctx, l.Topic, records, at)
+		if a.err != nil {
+			var applied bool
+			if applied, a.end, a.err = l.readBack(ctx, records, at, a.err); applied {
+				a.err = nil
+			}
+		}
+		select {
+		case l.appends <- a:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// readBack finds out what became of an append that failed. It returns whether the
+// records are in the topic, the offset to append at next, and an error if not.
+func (l *Lessor) readBack(ctx context.Context, records []sharedlog.Record, at int64, cause error) (bool, int64, error) {
+	batch, err := l.Log.Read(ctx, l.Topic, at, 0)
+	if err != nil {
+		return false, at, cause
+	}
+	applied := false
+	for _, record := range batch.Records {
+		if record.Key == keyAssignment {
+			assignment, err := keyrange.Decode(record.Value)
+			if err != nil || assignment.Holder != l.Instance {
+				return false, at, errDeposed
+			}
+		}
+		for _, own := range records {
+			applied = applied || own.Key == record.Key && bytes.Equal(own.Value, record.Value)
+		}
+	}
+	return applied, batch.Next, cause
+}
+
+func (l *Lessor) finishAppend(a appended) {
+	if a.claim {
+		l.finishClaim(a)
+		return
+	}
+	h := a.from
+	if l.held != h {
+		return
+	}
+	h.appending = false
+	switch {
+	case a.err == nil:
+		h.end, h.confirmed = a.end, a.sent
+		h.core.Accepted(a.version)
+	case errors.Is(a.err, errDeposed):
+		l.lose(a.err)
+	default:
+		h.end = max(h.end, a.end)
+		h.nextTry = l.Clock.Now() + appendRetry
+		h.nextBeat = 0
+		l.Logger.Warn("append of the assignment failed", zap.Error(a.err), zap.Duration("unconfirmed", l.Clock.Now()-h.confirmed))
+	}
+}
+
+// claimIfFree claims the lease if its holder resigned or fell silent.
+func (l *Lessor) claimIfFree(ctx context.Context, now time.Duration) {
+	if l.claiming || l.isStopping() {
+		return
+	}
+	silent, next := l.Table.silent(now)
+	current := l.Table.Current()
+	resigned := current == nil || current.Holder == ""
+	wait := l.spread()
+	if !resigned {
+		wait += ClaimAfter
+	}
+	if next == 0 && l.Table.notRead() {
+		return
+	}
+	if _, ok := l.Input(); !ok {
+		return
+	}
+	if resigned {
+		if l.claimFrom == 0 {
+			l.claimFrom = now
+		}
+		silent = now - l.claimFrom
+	} else {
+		l.claimFrom = 0
+	}
+	if current != nil && current.Holder == l.Instance {
+		// A claim of this VM took effect after its call had failed.
+		l.take(current, next, now, false)
+		return
+	}
+	if silent < wait {
+		return
+	}
+	l.claim(ctx, current, next, now)
+}
+
+// spread returns this VM's share of claimSpread, so that claims rarely meet.
+func (l *Lessor) spread() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(l.Instance)) // a hash never fails
+	return time.Duration(h.Sum32()%uint32(claimSpread/time.Millisecond)) * time.Millisecond
+}
+
+func (l *Lessor) claim(ctx context.Context, current *keyrange.Assignment, at int64, now time.Duration) {
+	state := &keyrange.Assignment{}
+	if current != nil {
+		state = current.Clone()
+	}
+	state.Holder = l.Instance
+	content, err := state.Encode()
+	if err != nil {
+		l.Logger.Error("claim cannot be encoded", zap.Error(err))
+		return
+	}
+	l.claiming = true
+	l.append(ctx, nil, []sharedlog.Record{{Key: keyAssignment, Value: content}}, at, appended{claim: true, sent: now})
+}
+
+func (l *Lessor) finishClaim(a appended) {
+	l.claiming = false
+	if a.err != nil {
+		l.Logger.Info("claim of the lease on assignments failed", zap.Error(a.err))
+		return
+	}
+	l.take(l.Table.Current(), a.end, a.sent, l.claimFrom != 0)
+}
+
+// take starts to hold the lease. The recorded state is that before the claim, which
+// changes only the holder.
+func (l *Lessor) take(recorded *keyrange.Assignment, end int64, sent time.Duration, resigned bool) {
+	now := l.Clock.Now()
+	l.held = &holding{core: NewCore(l.Instance, recorded, now, resigned), end: end, confirmed: sent}
+	l.claimFrom = 0
+	l.Logger.Info("lease on assignments taken", zap.Int64("end", end), zap.Bool("resigned", resigned))
+	l.OnHold(true)
+}
+
+func (l *Lessor) lose(reason error) {
+	l.held = nil
+	l.Logger.Info("lease on assignments lost", zap.Error(reason))
+	l.OnHold(false)
+}
+
+// resign records that nobody holds the lease. Calls that are under way end first.
+func (l *Lessor) resign(ctx context.Context) {
+	h := l.held
+	if h.appending || h.core.Calling() || h.core.Uncertain(l.Clock.Now()) {
+		return
+	}
+	state := h.core.State()
+	state.Holder = ""
+	content, err := state.Encode()
+	if err != nil {
+		l.Logger.Error("resignation cannot be encoded", zap.Error(err))
+		return
+	}
+	if _, err := l.Log.Append(ctx, l.Topic, []sharedlog.Record{{Key: keyAssignment, Value: content}}, h.end); err != nil {
+		l.Logger.Warn("lease on assignments was not given back", zap.Error(err))
+	}
+	l.lose(errors.New("the VM stops"))
+}
--- /dev/null
+++ b/internal/router/collector.go
@@ -0,0 +1,206 @@
+package router
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/directory"
+	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/keylease"
+	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/share"
+	"fireflyfield/internal/sharedlog"
+)
+
+const (
+	// reportInterval is the time between reports of a VM's load.
+	reportInterval = time.Second
+	// reportTimeout bounds the append of a report.
+	reportTimeout = 800 * time.Millisecond
+	// reportRead is the least time between reads of all reports.
+	reportRead = 700 * time.Millisecond
+	// weightLife is the time constant of the load of keys.
+	weightLife = 6 * time.Second
+)
+
+// collector sends this VM's reports and, while it holds the lease, collects those
+// of all VMs.
+type collector struct {
+	r        *Router
+	sequence int64
+
+	mu        sync.Mutex
+	allocator *share.Allocator
+	weights   map[string]*keyrange.Weight
+	decayed   time.Duration
+	seen      map[string]int64 // sequence of the last report whose keys were counted
+	cancel    context.CancelFunc
+}
+
+func newCollector(r *Router) *collector {
+	return &collector{r: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight), seen: make(map[string]int64)}
+}
+
+// run sends reports until ctx ends.
+func (c *collector) run(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if c.r.stopping.Load() {
+			return
+		}
+		err := c.send(ctx)
+		if (err != nil) != failing {
+			failing = err != nil
+			c.r.log.Info("reports of load", zap.Bool("failing", failing), zap.Error(err))
+		}
+	}
+}
+
+func (c *collector) send(ctx context.Context) error {
+	c.sequence++
+	report := share.Report{
+		Domain: c.r.o.Domain, Demand: c.r.limiter.Demand(c.r.clock.Now()),
+		Keys: c.r.forwarder.TakeKeys(), Sequence: c.sequence,
+	}
+	content, err := share.Encode(report)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_, err = c.r.o.Log.Append(ctx, c.r.o.ReportTopic, []sharedlog.Record{{Key: c.r.o.VM, Value: content}}, sharedlog.AnyEnd)
+	return err
+}
+
+// leave removes this VM's report, so that its shares go to the others.
+func (c *collector) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if _, err := c.r.o.Log.Append(ctx, c.r.o.ReportTopic, []sharedlog.Record{{Key: c.r.o.VM}}, sharedlog.AnyEnd); err != nil {
+		c.r.log.Info("report of this VM was not removed", zap.Error(err))
+	}
+}
+
+// hold starts or ends the collection of reports.
+func (c *collector) hold(held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+		c.cancel = nil
+	}
+	if !held {
+		return
+	}
+	c.allocator = share.NewAllocator()
+	clear(c.weights)
+	clear(c.seen)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go directory.Follow(ctx, c.r.o.Log, directory.Follower{
+		Topic: c.r.o.ReportTopic, Interval: reportRead, Log: c.r.log, Now: c.r.clock.Now, Apply: c.apply,
+	})
+}
+
+func (c *collector) apply(batch sharedlog.Batch, whole bool, _ time.Duration) {
+	now := c.r.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decay(now)
+	for _, record := range batch.Records {
+		if len(record.Value) == 0 {
+			c.allocator.Forget(record.Key)
+			continue
+		}
+		var report share.Report
+		if err := share.Decode(record.Value, &report); err != nil {
+			c.r.log.Error("report cannot be read", zap.String("vm", record.Key), zap.Error(err))
+			continue
+		}
+		c.allocator.Observe(record.Key, report, now)
+		if !whole {
+			c.weigh(report)
+		}
+	}
+}
+
+// decay lowers the loads of keys with time. The caller holds the lock.
+func (c *collector) decay(now time.Duration) {
+	left := math.Exp(-(now - c.decayed).Seconds() / weightLife.Seconds())
+	c.decayed = now
+	for _, weight := range c.weights {
+		weight.Decay(left)
+	}
+}
+
+// weigh adds the requests of a report to the loads of keys. The caller holds the lock.
+func (c *collector) weigh(report share.Report) {
+	for service, counts := range report.Keys {
+		weight := c.weights[service]
+		if weight == nil {
+			weight = new(keyrange.Weight)
+			c.weights[service] = weight
+		}
+		for _, count := range counts {
+			if count.Key >= 0 && count.Key <= keyrange.MaxKey {
+				weight.Add(count.Key, float64(count.Count))
+			}
+		}
+	}
+}
+
+// beat returns the allotment of all rates.
+func (c *collector) beat() []byte {
+	var workspaces []fleet.Workspace
+	if view := c.r.directory.View(); view != nil {
+		workspaces = view.Config.Workspaces
+	}
+	c.mu.Lock()
+	allotment := c.allocator.Allot(workspaces, c.r.clock.Now())
+	c.mu.Unlock()
+	content, err := share.Encode(allotment)
+	if err != nil {
+		c.r.log.Error("allotment cannot be encoded", zap.Error(err))
+	}
+	return content
+}
+
+// input returns what the holder of the lease knows of the keyed services.
+func (c *collector) input() (keylease.Input, bool) {
+	view := c.r.directory.View()
+	if view == nil {
+		return keylease.Input{}, false
+	}
+	in := keylease.Input{Servers: make(map[string][]keylease.Server), Weights: make(map[string]*keyrange.Weight)}
+	for _, service := range view.Config.Services {
+		if service.Keyed {
+			in.Servers[service.Name] = nil
+		}
+	}
+	for id, b := range view.Backends {
+		if _, keyed := in.Servers[b.Service]; !keyed {
+			continue
+		}
+		in.Servers[b.Service] = append(in.Servers[b.Service], keylease.Server{
+			ID: id, Address: b.Address, Started: b.Started, Usable: view.Usable(&b), Capacity: float64(b.Slots),
+		})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, weight := range c.weights {
+		copied := *weight
+		in.Weights[service] = &copied
+	}
+	return in, true
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,269 @@
+// Package router wires one VM that routes requests straight to backend servers and
+// shares its state with the other VMs over a log service only.
+//
+// Lock order: forward.Forwarder, then forward.Servers, then upstream.Pool; the
+// locks of directory.Directory, keylease.Table and share.Limiter are leaves. No
+// lock is held across I/O.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/decisionlog"
+	"fireflyfield/internal/directory"
+	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/forward"
+	"fireflyfield/internal/front"
+	"fireflyfield/internal/keylease"
+	"fireflyfield/internal/metrics"
+	"fireflyfield/internal/share"
+	"fireflyfield/internal/sharedlog"
+	"fireflyfield/internal/upstream"
+)
+
+// Options are the settings and the adapters of a VM.
+type Options struct {
+	VM       string
+	Instance string // differs in each process
+	Domain   string
+
+	FrontListen   string
+	ReadyListen   string
+	ReadyPath     string
+	MetricsListen string
+
+	Log         sharedlog.Log
+	Sources     directory.Sources
+	LeaseTopic  string
+	ReportTopic string
+	Granter     keylease.Granter
+	Protocol    Protocol
+
+	MaxConnections int
+	Grace          time.Duration // time between the signal to stop and the end
+	RevokeWithin   time.Duration // time until a withdrawn caller key stops working
+	RetryRatio     float64
+	Cold           forward.ColdLimits
+
+	Logger *zap.Logger
+}
+
+// Protocol is what callers and backend servers speak.
+type Protocol interface {
+	forward.Protocol
+	upstream.Responder
+}
+
+const (
+	// revokeMargin is subtracted from the time until a withdrawn caller key must stop
+	// working, for the way of a request to the VM.
+	revokeMargin = 400 * time.Millisecond
+	// maxReadyAge is the age of the configuration above which the VM says that it is
+	// not ready, while others may be.
+	maxReadyAge = 2500 * time.Millisecond
+	// idleSweep is the time between sweeps of idle connections.
+	idleSweep = 2 * time.Second
+	// leaveDelay is the time between the signal to stop and the end of idle
+	// connections: the platform asks once a second and takes two misses as a no.
+	leaveDelay = 2800 * time.Millisecond
+	// stopMargin is how long before the end of the grace time the process exits.
+	stopMargin = 300 * time.Millisecond
+)
+
+// Router is one running VM.
+type Router struct {
+	o         Options
+	clock     clock.Clock
+	log       *zap.Logger
+	directory *directory.Directory
+	table     *keylease.Table
+	limiter   *share.Limiter
+	servers   *forward.Servers
+	forwarder *forward.Forwarder
+	lessor    *keylease.Lessor
+	metrics   *metrics.Metrics
+	collector *collector
+	front     *front.Server
+	stopping  atomic.Bool
+	holds     atomic.Bool
+}
+
+// New returns a VM that is not started.
+func New(o Options) (*Router, error) {
+	r := &Router{o: o, clock: clock.System{}, log: o.Logger}
+	r.directory = directory.New(r.clock, r.log, o.Sources)
+	r.table = keylease.NewTable(r.log)
+	r.limiter = share.NewLimiter(o.VM)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	r.servers = forward.NewServers(r.clock, o.Domain, o.Cold, o.Protocol, random, r.limiter.VMs)
+	m, err := metrics.New(r.state)
+	if err != nil {
+		return nil, err
+	}
+	r.metrics = m
+	r.forwarder = forward.New(forward.Options{
+		Clock: r.clock, Directory: r.directory, Table: r.table, Servers: r.servers, Limiter: r.limiter,
+		Protocol: o.Protocol, Observer: decisionlog.NewRequests(r.log, r.clock, r.count),
+		RetryRatio: o.RetryRatio, MaxConfigAge: o.RevokeWithin - revokeMargin,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	r.collector = newCollector(r)
+	r.lessor = &keylease.Lessor{
+		Log: o.Log, Topic: o.LeaseTopic, Granter: o.Granter, Clock: r.clock, Table: r.table,
+		Instance: o.Instance, Logger: r.log, Input: r.collector.input, Wake: r.directory.Changed,
+		Beat: r.collector.beat, OnBeat: r.onBeat, OnHold: r.onHold,
+	}
+	r.lessor.Prepare()
+	r.front = &front.Server{
+		Handler: r.forwarder, Clock: r.clock, Log: r.log, Limits: r.limits, MaxConnections: o.MaxConnections,
+	}
+	return r, nil
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (r *Router) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp4", r.o.FrontListen)
+	if err != nil {
+		return errors.Wrap(err, "callers' listener")
+	}
+	defer callers.Close()
+	if err := r.serveHTTP(r.o.ReadyListen, r.readyMux()); err != nil {
+		return errors.Wrap(err, "readiness listener")
+	}
+	if err := r.serveHTTP(r.o.MetricsListen, r.metricsMux()); err != nil {
+		return errors.Wrap(err, "metrics listener")
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go r.directory.Run(background, r.o.Log)
+	go r.lessor.Run(background)
+	go r.collector.run(background)
+	go r.sweep(background)
+	go func() {
+		if err := r.front.Serve(callers); err != nil {
+			r.log.Error("callers' listener ended", zap.Error(err))
+		}
+	}()
+	r.log.Info("started", zap.String("instance", r.o.Instance),
+		zap.String("failure_domain", r.o.Domain), zap.String("front", r.o.FrontListen))
+	<-ctx.Done()
+	r.stop(callers)
+	return nil
+}
+
+// stop drains the VM: it says that it is not ready, gives the lease back, ends
+// connections behind their responses, and closes idle ones once no new ones come.
+func (r *Router) stop(callers net.Listener) {
+	r.log.Info("stopping", zap.Int("connections", r.front.Open()))
+	r.stopping.Store(true)
+	r.front.Drain()
+	r.lessor.Stop()
+	r.collector.leave()
+	time.Sleep(min(leaveDelay, r.o.Grace/2))
+	callers.Close() //nolint:errcheck // no connection is expected any more
+	r.front.CloseIdle()
+	ctx, cancel := context.WithTimeout(context.Background(), r.o.Grace-min(leaveDelay, r.o.Grace/2)-stopMargin)
+	defer cancel()
+	r.front.Wait(ctx)
+	r.log.Info("stopped", zap.Int("connections", r.front.Open()))
+}
+
+func (r *Router) serveHTTP(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			r.log.Error("listener ended", zap.String("address", address), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+func (r *Router) readyMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+r.o.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (r *Router) metricsMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", r.metrics.Handler())
+	return mux
+}
+
+// ready reports whether the VM should get new connections.
+func (r *Router) ready() bool {
+	return !r.stopping.Load() && r.directory.View() != nil && r.directory.ConfigAge() < maxReadyAge
+}
+
+func (r *Router) limits() fleet.Limits {
+	if view := r.directory.View(); view != nil {
+		return view.Config.Limits
+	}
+	return fleet.Limits{}
+}
+
+func (r *Router) sweep(ctx context.Context) {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.servers.ExpireIdle()
+		}
+	}
+}
+
+func (r *Router) onBeat(content []byte) {
+	var allotment share.Allotment
+	if err := share.Decode(content, &allotment); err != nil {
+		r.log.Error("beat cannot be read", zap.Error(err))
+		return
+	}
+	r.limiter.SetAllotment(allotment)
+}
+
+func (r *Router) onHold(held bool) {
+	r.holds.Store(held)
+	change := metrics.Lost
+	if held {
+		change = metrics.Gained
+	}
+	r.metrics.DeciderChanged(change)
+	r.collector.hold(held)
+}
+
+// count adds a request to the metrics.
+func (r *Router) count(e *forward.Event, outcome string) {
+	r.metrics.Request(e.Service, e.Workspace, outcome, e.Reason, e.Took)
+	for range max(0, len(e.Attempts)-1) {
+		r.metrics.Retried(e.Service)
+	}
+}
+
+// state is what the gauges show.
+func (r *Router) state() metrics.State {
+	state := metrics.State{Ready: r.ready(), Decider: r.holds.Load(), VMs: r.limiter.VMs()}
+	if view := r.directory.View(); view != nil {
+		state.Config = metrics.Config{Position: uint64(view.Config.Version), ConfirmedAge: r.directory.ConfigAge()}
+	}
+	return state
+}
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,266 @@
+// Package share divides the rates of workspaces among VMs. Each VM reports what its
+// callers ask for; one VM computes the shares and publishes them; each VM limits
+// its requests to its share. The shares of one workspace sum to at most one.
+package share
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"fireflyfield/internal/fleet"
+)
+
+const (
+	// reportLife is how long a VM keeps its share without a new report. A VM that
+	// cannot report also cannot confirm the caller keys, and refuses requests before.
+	reportLife = 5 * time.Second
+	// tightDemand is the ratio of demand to rate above which the shares follow the
+	// demand; below it every VM has room for its callers with an even share.
+	tightDemand = 0.5
+	// evenPart is the part of a tight workspace's rate that is divided evenly, so that
+	// a VM whose demand just starts is not left without.
+	evenPart = 0.15
+	// unlistedPart is the share of a VM that the newest allotment does not list,
+	// relative to an even share.
+	unlistedPart = 0.3
+	// unknownVMs is the number of VMs that is assumed before the first allotment.
+	unknownVMs = 24
+	// minBurst is the least burst of a VM's share, in requests.
+	minBurst = 1.5
+	// maxRetryAfter bounds the time after which a refused caller may come back.
+	maxRetryAfter = 2 * time.Second
+	// demandLife is the time constant of the demand that a VM reports.
+	demandLife = 2 * time.Second
+)
+
+// KeyCount is a number of requests for one key since the last report.
+type KeyCount struct {
+	Key   int `cbor:"1,keyasint"`
+	Count int `cbor:"2,keyasint"`
+}
+
+// Report is what one VM tells about its load.
+type Report struct {
+	Domain string `cbor:"1,keyasint"`
+	// Demand is the number of requests per second by workspace, refused ones included.
+	Demand map[string]float32 `cbor:"2,keyasint,omitempty"`
+	// Keys are the requests of keyed services by key since the last report.
+	Keys map[string][]KeyCount `cbor:"3,keyasint,omitempty"`
+	// Sequence grows with each report of one process.
+	Sequence int64 `cbor:"4,keyasint"`
+}
+
+// Allotment is the division of all rates among VMs.
+type Allotment struct {
+	VMs []string `cbor:"1,keyasint"`
+	// Shares are the shares of tight workspaces in the order of VMs. Every VM has an
+	// even share of the others.
+	Shares map[string][]float32 `cbor:"2,keyasint,omitempty"`
+}
+
+// Encode returns the content of a report or allotment.
+func Encode(v any) ([]byte, error) {
+	content, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, errors.Wrap(err, "share")
+	}
+	return content, nil
+}
+
+// Decode parses the content of a report or allotment.
+func Decode(content []byte, v any) error {
+	if err := cbor.Unmarshal(content, v); err != nil {
+		return errors.Wrap(err, "share")
+	}
+	return nil
+}
+
+// Allocator computes allotments from reports. It is not safe for concurrent use.
+type Allocator struct {
+	reports map[string]*received
+}
+
+type received struct {
+	report Report
+	at     time.Duration
+}
+
+// NewAllocator returns an allocator without reports.
+func NewAllocator() *Allocator { return &Allocator{reports: make(map[string]*received)} }
+
+// Observe takes the newest report of a VM.
+func (a *Allocator) Observe(vm string, report Report, now time.Duration) {
+	a.reports[vm] = &received{report: report, at: now}
+}
+
+// Forget drops the report of a VM that stopped.
+func (a *Allocator) Forget(vm string) { delete(a.reports, vm) }
+
+// Allot divides the rates of all workspaces among the VMs that report.
+func (a *Allocator) Allot(workspaces []fleet.Workspace, now time.Duration) Allotment {
+	allotment := Allotment{Shares: make(map[string][]float32)}
+	for vm, r := range a.reports {
+		if now-r.at > reportLife {
+			delete(a.reports, vm)
+			continue
+		}
+		allotment.VMs = append(allotment.VMs, vm)
+	}
+	slices.Sort(allotment.VMs)
+	for i := range workspaces {
+		if shares := a.divide(&workspaces[i], allotment.VMs); shares != nil {
+			allotment.Shares[workspaces[i].Name] = shares
+		}
+	}
+	return allotment
+}
+
+// divide returns the shares of a tight workspace, or nil.
+func (a *Allocator) divide(w *fleet.Workspace, vms []string) []float32 {
+	if w.Rate <= 0 || len(vms) == 0 {
+		return nil
+	}
+	total, most := 0.0, 0.0
+	for _, vm := range vms {
+		demand := float64(a.reports[vm].report.Demand[w.Name])
+		total += demand
+		most = max(most, demand)
+	}
+	even := 1 / float64(len(vms))
+	if total < tightDemand*w.Rate && most < tightDemand*w.Rate*even {
+		return nil
+	}
+	shares := make([]float32, len(vms))
+	for i, vm := range vms {
+		demand := float64(a.reports[vm].report.Demand[w.Name])
+		shares[i] = float32(evenPart*even + (1-evenPart)*demand/total)
+	}
+	return shares
+}
+
+// Limiter limits the requests of one VM to its shares. It is safe for concurrent
+// use; its lock is a leaf.
+type Limiter struct {
+	vm string
+
+	mu        sync.Mutex
+	allotment Allotment
+	index     int // of this VM in the allotment; -1 if it is not listed
+	buckets   map[string]*bucket
+	demand    map[string]*meter
+}
+
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+// meter is an exponentially decaying rate.
+type meter struct {
+	rate float64
+	at   time.Duration
+}
+
+func (m *meter) add(now time.Duration, n float64) {
+	m.rate = m.rate*decay(now-m.at) + n/demandLife.Seconds()
+	m.at = now
+}
+
+func decay(elapsed time.Duration) float64 { return math.Exp(-elapsed.Seconds() / demandLife.Seconds()) }
+
+// NewLimiter returns the limiter of a VM.
+func NewLimiter(vm string) *Limiter {
+	return &Limiter{vm: vm, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter)}
+}
+
+// SetAllotment replaces the shares.
+func (l *Limiter) SetAllotment(a Allotment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allotment = a
+	l.index = slices.Index(a.VMs, l.vm)
+}
+
+// VMs is the number of VMs in the newest allotment, or an assumed one.
+func (l *Limiter) VMs() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count()
+}
+
+func (l *Limiter) count() int {
+	if len(l.allotment.VMs) == 0 {
+		return unknownVMs
+	}
+	return len(l.allotment.VMs)
+}
+
+// share returns this VM's share of a workspace's rate. The caller holds the lock.
+func (l *Limiter) share(workspace string) float64 {
+	even := 1 / float64(l.count())
+	if l.index < 0 {
+		return even * unlistedPart
+	}
+	if shares := l.allotment.Shares[workspace]; l.index < len(shares) {
+		return float64(shares[l.index])
+	}
+	return even
+}
+
+// Take takes one request out of the workspace's share. If none is left, it returns
+// how long the caller should wait.
+func (l *Limiter) Take(w *fleet.Workspace, now time.Duration) (wait time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.demand[w.Name]
+	if m == nil {
+		m = &meter{at: now}
+		l.demand[w.Name] = m
+	}
+	m.add(now, 1)
+	if w.Rate <= 0 {
+		return 0, true
+	}
+	share := l.share(w.Name)
+	rate, burst := w.Rate*share, max(minBurst, w.Burst*share)
+	b := l.buckets[w.Name]
+	if b == nil {
+		b = &bucket{tokens: burst, at: now}
+		l.buckets[w.Name] = b
+	}
+	b.tokens = min(burst, b.tokens+rate*(now-b.at).Seconds())
+	b.at = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	seconds := (1 - b.tokens) / rate
+	return min(maxRetryAfter, time.Duration(seconds*float64(time.Second))), false
+}
+
+// Return gives back a request that did not run.
+func (l *Limiter) Return(workspace string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[workspace]; b != nil {
+		b.tokens++
+	}
+}
+
+// Demand returns the requests per second by workspace.
+func (l *Limiter) Demand(now time.Duration) map[string]float32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]float32, len(l.demand))
+	for name, m := range l.demand {
+		if rate := m.rate * decay(now-m.at); rate > 0.05 {
+			out[name] = float32(rate)
+		}
+	}
+	return out
+}
