Reset connections of grants that are given up, and name the instance in each

Cause: a grant held up by a partition was delivered after it healed, and a renewal reached a restarted process at the same address. Grants now name their instance, renewals stay on the connection of their grant, and closing resets. Ruled out: a wrong token at the takeover (the records were in order).

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -71,6 +72,7 @@
 	if err != nil {
 		return fail(streams, err)
 	}
+	errors.DisableTrace()
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	level, err := zapcore.ParseLevel(c.logLevel)
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -34,6 +34,9 @@
 	balanceInterval = time.Second
 	// balanceMoves is the largest number of ranges that move in one plan.
 	balanceMoves = 3
+	// avoidFor is how long a backend server that could not be reached gets no further
+	// keys; its entry in the catalogue lapses after about as long.
+	avoidFor = 3 * time.Second
 	// settleTime is how long no range moves for balance after the lease was taken:
 	// a former holder may renew until its authority ends.
 	settleTime = Authority
@@ -45,7 +48,9 @@
 	Address string
 	Started int64 // Unix ms of the start of its process
 	// Usable servers may get keys; others keep theirs only until they are released.
-	Usable   bool
+	Usable bool
+	// Avoided servers get no further keys for a while.
+	Avoided  bool
 	Capacity float64
 }
 
@@ -71,8 +76,7 @@
 type Call struct {
 	Kind    CallKind
 	Service string
-	Backend string
-	Address string
+	Target  Target
 	Grant   Grant
 	unit    *unit
 }
@@ -106,7 +110,10 @@
 	accepted int64 // of the newest state that the log accepted
 	settled  time.Duration
 	balanced map[string]time.Duration
-	moved    int
+	// avoid holds backend servers that could not be reached and until when they get
+	// no further keys.
+	avoid map[string]time.Duration
+	moved int
 }
 
 // NewCore returns the core of an instance that has just taken the lease. With
@@ -114,6 +121,7 @@
 func NewCore(instance string, recorded *keyrange.Assignment, now time.Duration, resigned bool) *Core {
 	c := &Core{
 		instance: instance, units: make(map[string][]*unit), balanced: make(map[string]time.Duration),
+		avoid:   make(map[string]time.Duration),
 		settled: now + settleTime,
 	}
 	heldUntil := now + Authority + Hold + holdMargin
@@ -185,6 +193,7 @@
 	var calls []Call
 	for service, servers := range in.Servers {
 		c.cover(service)
+		servers = c.reachable(servers, now)
 		known := make(map[string]Server, len(servers))
 		occupied := make(map[string]string, len(servers))
 		for _, server := range servers {
@@ -200,6 +209,24 @@
 	return calls
 }
 
+// reachable returns the servers with those that could not be reached lately marked
+// as unusable, unless that leaves none.
+func (c *Core) reachable(servers []Server, now time.Duration) []Server {
+	out := slices.Clone(servers)
+	usable := 0
+	for i := range out {
+		if now < c.avoid[out[i].ID] {
+			out[i].Avoided = true
+		} else if out[i].Usable {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return servers
+	}
+	return out
+}
+
 // cover adds the key space of a new service as one range without an owner.
 func (c *Core) cover(service string) {
 	if len(c.units[service]) == 0 {
@@ -224,6 +251,9 @@
 			c.release(u, "", 0)
 		case u.entry.Moving && now >= u.heldUntil && !u.calling:
 			c.release(u, "", 0)
+		case !u.granted && now < c.avoid[u.entry.Backend] && now >= u.heldUntil && !u.calling:
+			// The owner cannot be reached and its lease has run out.
+			c.release(u, "", 0)
 		case (!listed || !server.Usable) && !u.entry.Moving:
 			c.startMove(u, "", now)
 		}
@@ -288,7 +318,7 @@
 	usable := make(map[string]Server)
 	var list []keyrange.Server
 	for _, server := range servers {
-		if server.Usable {
+		if server.Usable && !server.Avoided {
 			usable[server.ID] = server
 			list = append(list, keyrange.Server{ID: server.ID, Capacity: max(server.Capacity, 0.1)})
 		}
@@ -425,13 +455,15 @@
 		if u.entry.Backend == "" || u.calling || now < u.nextCall || u.version > c.accepted {
 			continue
 		}
-		call := Call{Service: service, Backend: u.entry.Backend, Address: u.entry.Address, unit: u,
-			Grant: Grant{Range: u.entry.Range, Fence: u.entry.Fence}}
+		call := Call{Service: service, unit: u,
+			Target: Target{Backend: u.entry.Backend, Address: u.entry.Address, Started: u.entry.Started},
+			Grant:  Grant{Range: u.entry.Range, Fence: u.entry.Fence}}
 		if u.entry.Moving {
 			call.Kind = CallRelease
 		} else {
 			call.Grant.Hold = Hold
 			call.Grant.Handover = u.handover
+			call.Grant.Renewal = u.granted
 		}
 		u.calling = true
 		calls = append(calls, call)
@@ -443,10 +475,16 @@
 func (c *Core) Done(call Call, handover string, err error, now time.Duration) {
 	u := call.unit
 	u.calling = false
-	if call.Kind == CallGrant && !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrFenced) {
+	if call.Kind == CallGrant && !certainlyNot(err) {
 		c.extend(call, err, now)
 	}
-	if u.gone || u.entry.Fence != call.Grant.Fence || u.entry.Backend != call.Backend {
+	if u.gone || u.entry.Fence != call.Grant.Fence || u.entry.Backend != call.Target.Backend {
+		return
+	}
+	if errors.Is(err, ErrOtherInstance) {
+		// The owner's process has ended, and with it every lease that it had.
+		c.avoid[u.entry.Backend] = now + avoidFor
+		c.release(u, "", 0)
 		return
 	}
 	if call.Kind == CallRelease {
@@ -456,6 +494,12 @@
 	c.grantDone(u, err, now)
 }
 
+// certainlyNot reports whether a grant that failed so has not taken effect and
+// will not.
+func certainlyNot(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrFenced) || errors.Is(err, ErrSessionLost) || errors.Is(err, ErrOtherInstance)
+}
+
 // extend notes that the lease of a grant may run from now on, also for the pieces
 // of a range that was split meanwhile.
 func (c *Core) extend(call Call, err error, now time.Duration) {
@@ -482,16 +526,26 @@
 		}
 		u.granted, u.handover = true, ""
 		u.nextCall = now + RenewInterval
-	case errors.Is(err, ErrFenced):
-		// A late call of an earlier assignment was seen: grant with a higher token.
-		c.fence++
-		u.entry.Fence = c.fence
-		c.changed(u)
-	default:
+	case errors.Is(err, ErrNotSent):
+		if u.granted {
+			c.renumber(u)
+		}
 		u.nextCall = now + releaseRetry
+		c.avoid[u.entry.Backend] = now + avoidFor
+	default:
+		// The process may have restarted, or seen a late call with a higher token.
+		c.renumber(u)
 	}
 }
 
+// renumber gives a range a fencing token that no backend server has seen.
+func (c *Core) renumber(u *unit) {
+	c.fence++
+	u.entry.Fence = c.fence
+	u.granted = false
+	c.changed(u)
+}
+
 func (c *Core) released(u *unit, handover string, err error, now time.Duration) {
 	if !u.entry.Moving {
 		return
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -153,7 +153,7 @@
 	}
 	now := l.Clock.Now()
 	if r.err != nil {
-		l.Logger.Warn("call for a key range failed", zap.String("backend", r.call.Backend), zap.Uint8("kind", uint8(r.call.Kind)),
+		l.Logger.Warn("call for a key range failed", zap.String("backend", r.call.Target.Backend), zap.Uint8("call", uint8(r.call.Kind)),
 			zap.Stringer("range", r.call.Grant.Range), zap.Int64("fence", r.call.Grant.Fence), zap.Error(r.err))
 	}
 	l.held.core.Done(r.call, r.handover, r.err, now)
@@ -202,11 +202,11 @@
 		if call.Kind == CallRelease {
 			ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 			defer cancel()
-			r.handover, r.err = l.Granter.Release(ctx, call.Address, call.Grant)
+			r.handover, r.err = l.Granter.Release(ctx, call.Target, call.Grant)
 		} else {
 			ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 			defer cancel()
-			r.err = l.Granter.Grant(ctx, call.Address, call.Grant)
+			r.err = l.Granter.Grant(ctx, call.Target, call.Grant)
 		}
 		select {
 		case l.results <- r:
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -198,9 +197,17 @@
 	return defaultIdle
 }
 
-// closeOnDone closes the connection when ctx ends before stop is called. A backend
-// server drops a request whose connection closes.
-func (c *conn) closeOnDone(ctx context.Context) (stop func() bool) {
-	var once sync.Once
-	return context.AfterFunc(ctx, func() { once.Do(func() { c.net.SetDeadline(time.Unix(1, 0)) }) }) //nolint:errcheck // an error means that the connection is closed already
+// abort makes the next close reset the connection, so that bytes which a partition
+// holds up are not delivered when it heals.
+func (c *conn) abort() {
+	if tcp, ok := c.net.(*net.TCPConn); ok {
+		tcp.SetLinger(0) //nolint:errcheck // an error means that the connection is closed already
+	}
+}
+
+// endOnDone ends the exchange when ctx ends before stop is called.
+func (c *conn) endOnDone(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		c.net.SetDeadline(time.Unix(1, 0)) //nolint:errcheck // an error means that the connection is closed already
+	})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,13 +77,16 @@
 	if !result.Reused {
 		result.Idle = 0
 	}
-	stop := c.closeOnDone(ctx)
+	stop := c.endOnDone(ctx)
 	response, fate, keep, err := c.exchange(r, p.responder)
 	stopped := stop()
 	result.Response, result.Fate, result.Err = response, fate, err
 	if err != nil && result.Reused && ctx.Err() == nil {
 		p.limitIdle(result.Idle)
 	}
+	if err != nil {
+		c.abort()
+	}
 	p.put(c, keep && stopped && err == nil)
 	return result
 }
