Keep a deposed holder from taking the lease again, and spread first assignments

It now waits until the table has read past the claim. Keys of a new service are assigned once no more backend servers appear. The tolerance of a rate is handed out as burst. Ruled out: an append that was taken for accepted.

--- a/internal/decisionlog/requests.go
+++ b/internal/decisionlog/requests.go
@@ -141,6 +141,9 @@
 	if e.Key != forward.NoKey {
 		list = append(list, zap.Int("key", e.Key), zap.Duration("owner_wait_ms", e.Waited))
 	}
+	if e.Rate > 0 {
+		list = append(list, zap.Float64("rate_part", e.Rate), zap.Float64("burst_part", e.Burst))
+	}
 	if len(e.Attempts) > 0 {
 		list = append(list, zap.Array("attempts", attempts(e.Attempts)))
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -34,7 +34,7 @@
 		})
 	}()
 	Follow(ctx, log, Follower{
-		Topic: d.source.OperatorTopic, Wait: operatorWait, Log: d.log,
+		Topic: d.source.OperatorTopic, Wait: func() time.Duration { return operatorWait }, Log: d.log,
 		Apply: func(b sharedlog.Batch, whole bool, sent time.Duration) {
 			d.applyOperator(b.Records, whole)
 			d.confirmed.Store(int64(sent))
@@ -47,8 +47,8 @@
 // Follower says how to follow a topic.
 type Follower struct {
 	Topic string
-	// Wait is how long a read waits for a record.
-	Wait time.Duration
+	// Wait returns how long the next read waits for a record; nil means not at all.
+	Wait func() time.Duration
 	// Interval is the least time between reads.
 	Interval time.Duration
 	// Apply gets each batch, whether it is all that the topic holds, and when the
@@ -106,7 +106,11 @@
 	if next < 0 {
 		return log.Newest(ctx, f.Topic)
 	}
-	return log.Read(ctx, f.Topic, next, f.Wait)
+	wait := time.Duration(0)
+	if f.Wait != nil {
+		wait = f.Wait()
+	}
+	return log.Read(ctx, f.Topic, next, wait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -17,7 +17,9 @@
 	Received time.Duration
 	Took     time.Duration
 	Waited   time.Duration // for the owner of a key that was moving
-	Attempts []AttemptEvent
+	// Rate and Burst are this VM's part of the workspace's limit, for refused requests.
+	Rate, Burst float64
+	Attempts    []AttemptEvent
 }
 
 // AttemptEvent is one attempt at a backend server.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -159,12 +159,13 @@
 		return nil
 	}
 	fl.event.Workspace = fl.owner.Name
-	wait, ok := f.Limiter.Take(fl.owner, f.Clock.Now())
-	if ok {
+	decision := f.Limiter.Take(fl.owner, f.Clock.Now())
+	if decision.OK {
 		return nil
 	}
+	fl.event.Rate, fl.event.Burst = decision.Rate, decision.Burst
 	answer := f.refuse(fl, http.StatusTooManyRequests, "rate-exceeded")
-	answer.Header.Set("Retry-After", formatSeconds(max(wait, retryAfterLeast)))
+	answer.Header.Set("Retry-After", formatSeconds(max(decision.Wait, retryAfterLeast)))
 	return answer
 }
 
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -37,6 +37,9 @@
 	// avoidFor is how long a backend server that could not be reached gets no further
 	// keys; its entry in the catalogue lapses after about as long.
 	avoidFor = 3 * time.Second
+	// appearTime is the time without a new backend server after which the keys of a new
+	// service are assigned; backend servers write to the catalogue about once a second.
+	appearTime = 1200 * time.Millisecond
 	// settleTime is how long no range moves for balance after the lease was taken:
 	// a former holder may renew until its authority ends.
 	settleTime = Authority
@@ -110,17 +113,26 @@
 	accepted int64 // of the newest state that the log accepted
 	settled  time.Duration
 	balanced map[string]time.Duration
+	// first notes how many backend servers a new service has, and since when.
+	first map[string]*firstSeen
 	// avoid holds backend servers that could not be reached and until when they get
 	// no further keys.
 	avoid map[string]time.Duration
 	moved int
 }
 
+// firstSeen is the number of backend servers of a service without assignments.
+type firstSeen struct {
+	servers int
+	at      time.Duration
+}
+
 // NewCore returns the core of an instance that has just taken the lease. With
 // resigned set, the former holder had stopped its calls before.
 func NewCore(instance string, recorded *keyrange.Assignment, now time.Duration, resigned bool) *Core {
 	c := &Core{
 		instance: instance, units: make(map[string][]*unit), balanced: make(map[string]time.Duration),
+		first:   make(map[string]*firstSeen),
 		avoid:   make(map[string]time.Duration),
 		settled: now + settleTime,
 	}
@@ -192,7 +204,9 @@
 func (c *Core) Step(now time.Duration, in Input) []Call {
 	var calls []Call
 	for service, servers := range in.Servers {
-		c.cover(service)
+		if !c.cover(service, servers, now) {
+			continue
+		}
 		servers = c.reachable(servers, now)
 		known := make(map[string]Server, len(servers))
 		occupied := make(map[string]string, len(servers))
@@ -227,12 +241,23 @@
 	return out
 }
 
-// cover adds the key space of a new service as one range without an owner.
-func (c *Core) cover(service string) {
-	if len(c.units[service]) == 0 {
-		c.units[service] = []*unit{{entry: keyrange.Entry{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}}}}
-		c.version++
+// cover adds the key space of a new service as one range without an owner, once no
+// more backend servers appear: the first ones would get all keys.
+func (c *Core) cover(service string, servers []Server, now time.Duration) bool {
+	if len(c.units[service]) > 0 {
+		return true
 	}
+	first := c.first[service]
+	if first == nil || first.servers != len(servers) {
+		c.first[service] = &firstSeen{servers: len(servers), at: now}
+		return false
+	}
+	if len(servers) == 0 || now < first.at+appearTime {
+		return false
+	}
+	c.units[service] = []*unit{{entry: keyrange.Entry{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}}}}
+	c.version++
+	return true
 }
 
 // free takes ranges from owners that are gone, restarted or leaving.
@@ -384,7 +409,7 @@
 
 // balance starts moves that relieve busy owners.
 func (c *Core) balance(service string, servers []Server, weight *keyrange.Weight, now time.Duration) {
-	if now < c.settled || now < c.balanced[service]+balanceInterval || weight == nil || c.moving(service) {
+	if now < c.settled || now < c.balanced[service]+balanceInterval || c.moving(service) {
 		return
 	}
 	c.balanced[service] = now
@@ -497,7 +522,8 @@
 // certainlyNot reports whether a grant that failed so has not taken effect and
 // will not.
 func certainlyNot(err error) bool {
-	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrFenced) || errors.Is(err, ErrSessionLost) || errors.Is(err, ErrOtherInstance)
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrFenced) || errors.Is(err, ErrSessionLost) ||
+		errors.Is(err, ErrOtherInstance) || errors.Is(err, ErrRejected)
 }
 
 // extend notes that the lease of a grant may run from now on, also for the pieces
@@ -526,7 +552,7 @@
 		}
 		u.granted, u.handover = true, ""
 		u.nextCall = now + RenewInterval
-	case errors.Is(err, ErrNotSent):
+	case errors.Is(err, ErrNotSent), errors.Is(err, ErrRejected):
 		if u.granted {
 			c.renumber(u)
 		}
--- a/internal/keylease/granter.go
+++ b/internal/keylease/granter.go
@@ -26,6 +26,10 @@
 // ErrOtherInstance reports that another process has the address.
 var ErrOtherInstance = errors.New("another backend server has the address")
 
+// ErrRejected reports a call that the process at the address does not accept. It
+// has not taken effect.
+var ErrRejected = errors.New("the backend server rejects the call")
+
 // Target is the process that a call is meant for.
 type Target struct {
 	Backend string
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// topicWait is how long a read of the topic waits for a record.
-	topicWait = 1500 * time.Millisecond
+	// shortWait is how long a read of the topic waits once the holder is silent.
+	shortWait = 150 * time.Millisecond
 	// holderTick and memberTick are the times between steps without an event.
 	holderTick = 100 * time.Millisecond
 	memberTick = 250 * time.Millisecond
@@ -63,6 +63,8 @@
 	stopping  chan struct{}
 	stopped   chan struct{}
 	claimFrom time.Duration
+	// deposedAt is the offset after the record by which another VM took the lease.
+	deposedAt int64
 }
 
 // holding is the state while this VM holds the lease.
@@ -98,7 +100,7 @@
 	l.stopped = make(chan struct{})
 	defer close(l.stopped)
 	go directory.Follow(ctx, l.Log, directory.Follower{
-		Topic: l.Topic, Wait: topicWait, Log: l.Logger, Now: l.Clock.Now,
+		Topic: l.Topic, Wait: l.readWait, Log: l.Logger, Now: l.Clock.Now,
 		Apply: func(b sharedlog.Batch, _ bool, sent time.Duration) {
 			if beat := l.Table.apply(b, sent, l.Clock.Now()); beat != nil {
 				l.OnBeat(beat)
@@ -111,6 +113,12 @@
 	}
 }
 
+// readWait returns how long a read waits: until the holder counts as silent, so that
+// the read after it can confirm that.
+func (l *Lessor) readWait() time.Duration {
+	return min(ClaimAfter, max(shortWait, l.Table.lastHeard()+ClaimAfter-l.Clock.Now()))
+}
+
 // Prepare must be called before Run and Stop.
 func (l *Lessor) Prepare() { l.stopping = make(chan struct{}) }
 
@@ -265,7 +273,7 @@
 		if record.Key == keyAssignment {
 			assignment, err := keyrange.Decode(record.Value)
 			if err != nil || assignment.Holder != l.Instance {
-				return false, at, errDeposed
+				return false, batch.Next, errDeposed
 			}
 		}
 		for _, own := range records {
@@ -290,6 +298,7 @@
 		h.end, h.confirmed = a.end, a.sent
 		h.core.Accepted(a.version)
 	case errors.Is(a.err, errDeposed):
+		l.deposedAt = a.end
 		l.lose(a.err)
 	default:
 		h.end = max(h.end, a.end)
@@ -325,6 +334,9 @@
 	} else {
 		l.claimFrom = 0
 	}
+	if next < l.deposedAt {
+		return // the table has not read yet that another VM took the lease
+	}
 	if current != nil && current.Holder == l.Instance {
 		// A claim of this VM took effect after its call had failed.
 		l.take(current, next, now, false)
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -93,6 +93,13 @@
 	return t.read - t.heard, t.next
 }
 
+// lastHeard is when the newest record arrived.
+func (t *Table) lastHeard() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.heard
+}
+
 // holder returns the instance that holds the lease as of the newest record.
 func (t *Table) holder() string {
 	if a := t.current.Load(); a != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,7 @@
 	RevokeWithin   time.Duration // time until a withdrawn caller key stops working
 	RetryRatio     float64
 	Cold           forward.ColdLimits
+	QuotaTolerance share.Tolerance
 
 	Logger *zap.Logger
 }
@@ -102,7 +103,7 @@
 	r := &Router{o: o, clock: clock.System{}, log: o.Logger}
 	r.directory = directory.New(r.clock, r.log, o.Sources)
 	r.table = keylease.NewTable(r.log)
-	r.limiter = share.NewLimiter(o.VM)
+	r.limiter = share.NewLimiter(o.VM, o.QuotaTolerance)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.servers = forward.NewServers(r.clock, o.Domain, o.Cold, o.Protocol, random, r.limiter.VMs)
 	m, err := metrics.New(r.state)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -30,6 +30,9 @@
 	unlistedPart = 0.3
 	// unknownVMs is the number of VMs that is assumed before the first allotment.
 	unknownVMs = 24
+	// toleranceUsed is the part of the tolerance that is handed out as burst; the rest
+	// is for shares that change while they are under way.
+	toleranceUsed = 0.6
 	// minBurst is the least burst of a VM's share, in requests.
 	minBurst = 1.5
 	// maxRetryAfter bounds the time after which a refused caller may come back.
@@ -143,10 +146,20 @@
 	return shares
 }
 
+// Tolerance is how far the requests of all VMs together may exceed a limit in a
+// window: by a part of what the limit allows in the window, and by a number of
+// requests.
+type Tolerance struct {
+	Window time.Duration
+	Factor float64
+	Slack  float64
+}
+
 // Limiter limits the requests of one VM to its shares. It is safe for concurrent
 // use; its lock is a leaf.
 type Limiter struct {
-	vm string
+	vm        string
+	tolerance Tolerance
 
 	mu        sync.Mutex
 	allotment Allotment
@@ -174,8 +187,8 @@
 func decay(elapsed time.Duration) float64 { return math.Exp(-elapsed.Seconds() / demandLife.Seconds()) }
 
 // NewLimiter returns the limiter of a VM.
-func NewLimiter(vm string) *Limiter {
-	return &Limiter{vm: vm, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter)}
+func NewLimiter(vm string, tolerance Tolerance) *Limiter {
+	return &Limiter{vm: vm, tolerance: tolerance, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter)}
 }
 
 // SetAllotment replaces the shares.
@@ -212,9 +225,18 @@
 	return even
 }
 
-// Take takes one request out of the workspace's share. If none is left, it returns
-// how long the caller should wait.
-func (l *Limiter) Take(w *fleet.Workspace, now time.Duration) (wait time.Duration, ok bool) {
+// Decision is the outcome of Take with what decided it.
+type Decision struct {
+	OK bool
+	// Wait is how long the caller of a refused request should wait.
+	Wait time.Duration
+	// Rate and Burst are this VM's part of the limit, in requests per second and
+	// requests; 0 means no limit.
+	Rate, Burst float64
+}
+
+// Take takes one request out of the workspace's share.
+func (l *Limiter) Take(w *fleet.Workspace, now time.Duration) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m := l.demand[w.Name]
@@ -224,23 +246,33 @@
 	}
 	m.add(now, 1)
 	if w.Rate <= 0 {
-		return 0, true
+		return Decision{OK: true}
 	}
-	share := l.share(w.Name)
-	rate, burst := w.Rate*share, max(minBurst, w.Burst*share)
+	d := Decision{}
+	d.Rate, d.Burst = l.limit(w)
 	b := l.buckets[w.Name]
 	if b == nil {
-		b = &bucket{tokens: burst, at: now}
+		b = &bucket{tokens: d.Burst, at: now}
 		l.buckets[w.Name] = b
 	}
-	b.tokens = min(burst, b.tokens+rate*(now-b.at).Seconds())
+	b.tokens = min(d.Burst, b.tokens+d.Rate*(now-b.at).Seconds())
 	b.at = now
 	if b.tokens >= 1 {
 		b.tokens--
-		return 0, true
+		d.OK = true
+		return d
 	}
-	seconds := (1 - b.tokens) / rate
-	return min(maxRetryAfter, time.Duration(seconds*float64(time.Second))), false
+	d.Wait = min(maxRetryAfter, time.Duration((1-b.tokens)/d.Rate*float64(time.Second)))
+	return d
+}
+
+// limit returns this VM's part of the rate and the burst of a workspace. The caller
+// holds the lock.
+func (l *Limiter) limit(w *fleet.Workspace) (rate, burst float64) {
+	share := l.share(w.Name)
+	extra := l.tolerance.Factor*(w.Rate*l.tolerance.Window.Seconds()+w.Burst) + l.tolerance.Slack
+	extra *= toleranceUsed
+	return w.Rate * share, max(minBurst, w.Burst*share+extra/float64(l.count()))
 }
 
 // Return gives back a request that did not run.
