Hedge slow idempotent requests, limit connections to a VM's part, reject at full owners

Cause: backend servers counted as cold for 3 s after any lost answer; they reset connections beyond their limit, the lease holder's grants among them, and each failed grant was repeated at once with a new token; owners that are full shed what was sent to them.

--- a/internal/decisionlog/requests.go
+++ b/internal/decisionlog/requests.go
@@ -171,6 +171,7 @@
 	encoder.AddDuration("at_ms", a.At)
 	encoder.AddDuration("took_ms", a.Took)
 	encoder.AddBool("reused", a.Reused)
+	encoder.AddBool("hedge", a.Hedge)
 	if a.Detail != "" {
 		encoder.AddString("detail", a.Detail)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -196,12 +196,12 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changed := whole
+	changed := whole || len(records) > 0
 	seen := make(map[string]bool, len(records))
 	for _, record := range records {
 		change := d.source.DecodeBackend(record)
 		seen[change.ID] = true
-		changed = d.applyBackend(change, now) || changed
+		d.applyBackend(change, now)
 	}
 	if whole {
 		for id := range d.backends {
@@ -216,18 +216,19 @@
 	}
 }
 
-// applyBackend reports whether the change matters to request handlers. Most
-// entries only repeat what is known.
-func (d *Directory) applyBackend(change BackendChange, now time.Duration) bool {
+// applyBackend takes one entry or its removal.
+func (d *Directory) applyBackend(change BackendChange, now time.Duration) {
 	if change.Removed {
-		return d.removeBackend(change.ID, now)
+		d.removeBackend(change.ID, now)
+		return
 	}
 	if change.Err != nil {
 		if !d.unread[change.ID] {
 			d.unread[change.ID] = true
 			d.log.Warn("entry of a backend server cannot be read", zap.String("backend", change.ID), zap.Error(change.Err))
 		}
-		return d.removeBackend(change.ID, now)
+		d.removeBackend(change.ID, now)
+		return
 	}
 	delete(d.unread, change.ID)
 	known, ok := d.backends[change.ID]
@@ -240,15 +241,13 @@
 		d.log.Info("backend server listed", zap.String("backend", change.ID), zap.String("service", next.Service),
 			zap.String("address", next.Address), zap.Bool("draining", next.Draining),
 			zap.Int64("started", next.Started), zap.Duration("cold", next.Cold))
-		return true
 	}
-	return known.Lapsed != 0 || known.Slots != next.Slots || known.ColdUntil != 0 || next.ColdUntil != 0
 }
 
-func (d *Directory) removeBackend(id string, now time.Duration) bool {
+func (d *Directory) removeBackend(id string, now time.Duration) {
 	known, ok := d.backends[id]
 	if !ok {
-		return false
+		return
 	}
 	// An entry may lapse because the log was away; the backend server then writes
 	// again within returnGrace.
@@ -258,11 +257,10 @@
 			d.backends[id] = known
 			d.log.Info("entry of a backend server lapsed around an outage of the log", zap.String("backend", id))
 		}
-		return false
+		return
 	}
 	delete(d.backends, id)
 	d.log.Info("backend server gone", zap.String("backend", id), zap.String("service", known.Service))
-	return true
 }
 
 // expire removes lapsed entries whose grace is over.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,6 +18,12 @@
 	ownerPause = 40 * time.Millisecond
 	// ownerTries bounds the tries at owners that refuse the key.
 	ownerTries = 3
+	// A request is sent to a second backend server after hedgeUsual times the usual
+	// latency, or hedgeObjective of its objective if that is less, but not before
+	// hedgeLeast times the usual latency.
+	hedgeUsual     = 2.0
+	hedgeObjective = 0.55
+	hedgeLeast     = 1.3
 	// leastTime is the least time for which an attempt is worth while.
 	leastTime = 10 * time.Millisecond
 )
@@ -88,8 +94,16 @@
 	return f.refuse(fl, http.StatusServiceUnavailable, reason)
 }
 
-// attempt sends the request to one backend server. It returns the final answer, or
-// whether another attempt may be made.
+// flown is the result of one send.
+type flown struct {
+	b      *backend
+	result upstream.Result
+	event  AttemptEvent
+	hedge  bool
+}
+
+// attempt sends the request to a backend server, and to a second one if the first
+// is slow. It returns the final answer, or whether another attempt may be made.
 func (f *Forwarder) attempt(ctx, attempts context.Context, fl *flight) (*Answer, bool) {
 	b, answer := f.choose(ctx, fl)
 	if answer != nil {
@@ -98,35 +112,112 @@
 		}
 		return answer, false
 	}
+	attempts, cancel := context.WithCancel(attempts)
+	defer cancel()
+	results := make(chan flown, 2)
+	f.send(attempts, fl, b, false, results)
+	flying := 1
+	var hedge <-chan time.Time
+	if delay, ok := f.hedgeDelay(fl); ok {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	for {
+		select {
+		case <-hedge:
+			hedge = nil
+			if second := f.chooseHedge(fl); second != nil {
+				f.send(attempts, fl, second, true, results)
+				flying++
+			}
+		case r := <-results:
+			flying--
+			answer, retriable := f.classify(attempts, fl, &r)
+			fl.event.Attempts = append(fl.event.Attempts, r.event)
+			if answer == nil && flying > 0 {
+				continue
+			}
+			f.abandon(results, flying)
+			return answer, retriable
+		}
+	}
+}
+
+// abandon counts the end of sends whose results are no longer needed.
+func (f *Forwarder) abandon(results <-chan flown, flying int) {
+	if flying == 0 {
+		return
+	}
+	go func() {
+		for range flying {
+			r := <-results
+			f.ended(r.b, func(time.Duration) {})
+		}
+	}()
+}
+
+// hedgeDelay returns the time after which a slow request is sent to a second
+// backend server. It answers backend servers that are slow for a fraction of a
+// second, which reports show too late.
+func (f *Forwarder) hedgeDelay(fl *flight) (time.Duration, bool) {
+	if !fl.route.Idempotent || fl.service.Keyed || fl.route.MaxAttempts <= len(fl.tried)+1 {
+		return 0, false
+	}
+	usual := f.usual(fl.route)
+	delay := max(time.Duration(hedgeLeast*float64(usual)), min(time.Duration(hedgeUsual*float64(usual)), time.Duration(hedgeObjective*float64(fl.route.Objective))))
+	return delay, fl.deadline-f.Clock.Now() > delay+usual
+}
+
+// chooseHedge picks the second backend server, or nil if none may be used.
+func (f *Forwarder) chooseHedge(fl *flight) *backend {
+	now := f.Clock.Now()
+	usual := f.usual(fl.route)
+	if fl.deadline-now < usual || !f.budget(fl.service.Name).Take(time.Unix(0, int64(now))) {
+		return nil
+	}
+	b, reason := f.Servers.pick(f.Directory.View(), fl.service, fl.tried, usual, fl.deadline-now)
+	if reason != pickedNone {
+		f.budget(fl.service.Name).Return(time.Unix(0, int64(now)))
+		return nil
+	}
+	return b
+}
+
+// send starts one send in the background.
+func (f *Forwarder) send(ctx context.Context, fl *flight, b *backend, hedge bool, results chan<- flown) {
 	now := f.Clock.Now()
-	left := fl.deadline - now
-	event := AttemptEvent{Backend: b.ID, At: now - fl.request.Received}
 	header := f.outbound(fl)
 	workspace := ""
 	if fl.owner != nil {
 		workspace = fl.owner.Name
 	}
-	f.Protocol.SetAttempt(header, AttemptHeaders{RequestID: fl.call.ID, Instance: b.ID, TimeLeft: left, Workspace: workspace})
-	result := b.pool.Do(attempts, &upstream.Request{
+	f.Protocol.SetAttempt(header, AttemptHeaders{
+		RequestID: fl.call.ID, Instance: b.ID, TimeLeft: fl.deadline - now, Workspace: workspace,
+	})
+	r := flown{b: b, hedge: hedge, event: AttemptEvent{Backend: b.ID, At: now - fl.request.Received, Hedge: hedge}}
+	request := &upstream.Request{
 		ID: fl.call.ID, Method: fl.request.Method, Target: fl.request.Target, Host: fl.request.Host,
 		Header: header, Body: fl.request.Body, HasBody: fl.request.HasBody,
-	})
-	event.Took, event.Reused = f.Clock.Now()-now, result.Reused
+	}
 	fl.tried = append(fl.tried, b.ID)
-	answer, retriable := f.classify(attempts, fl, b, result, &event)
-	fl.event.Attempts = append(fl.event.Attempts, event)
-	return answer, retriable
+	go func() {
+		r.result = b.pool.Do(ctx, request)
+		r.event.Took, r.event.Reused = f.Clock.Now()-now, r.result.Reused
+		results <- r
+	}()
 }
 
 // classify decides what a result means for the request and for the state of the
 // backend server.
-func (f *Forwarder) classify(ctx context.Context, fl *flight, b *backend, result upstream.Result, event *AttemptEvent) (*Answer, bool) {
+func (f *Forwarder) classify(ctx context.Context, fl *flight, r *flown) (*Answer, bool) {
+	b, result, event := r.b, r.result, &r.event
 	switch result.Fate {
 	case upstream.FateNotSent:
 		event.Detail = "not sent: " + result.Err.Error()
-		f.ended(fl, b, func(now time.Duration) {
+		f.ended(b, func(now time.Duration) {
 			if ctx.Err() == nil {
-				b.broken(now, fl.service.ColdFor)
+				b.broken(now, result.Refused, fl.service.ColdFor)
 			}
 		})
 		fl.event.Reason = "not-sent"
@@ -134,23 +225,23 @@
 	case upstream.FateUnknown:
 		event.Detail = result.Err.Error()
 		fl.sent, fl.unknown = true, true
-		f.ended(fl, b, func(now time.Duration) {
+		f.ended(b, func(now time.Duration) {
 			switch {
 			case ctx.Err() != nil:
 				b.result(f.Clock.Now() >= fl.deadline, now)
 			case !result.Reused:
-				b.broken(now, fl.service.ColdFor)
+				b.broken(now, false, fl.service.ColdFor)
 			default:
 				b.result(true, now)
 			}
 		})
 		return nil, fl.route.Idempotent && ctx.Err() == nil
 	}
-	return f.answered(fl, b, result, event)
+	return f.answered(fl, r)
 }
 
 // ended counts the end of a request at a backend server and applies a change.
-func (f *Forwarder) ended(fl *flight, b *backend, change func(now time.Duration)) {
+func (f *Forwarder) ended(b *backend, change func(now time.Duration)) {
 	f.Servers.update(func(now time.Duration) {
 		b.own--
 		change(now)
@@ -158,13 +249,13 @@
 }
 
 // answered handles a complete response.
-func (f *Forwarder) answered(fl *flight, b *backend, result upstream.Result, event *AttemptEvent) (*Answer, bool) {
-	response := result.Response
+func (f *Forwarder) answered(fl *flight, r *flown) (*Answer, bool) {
+	b, event, response := r.b, &r.event, r.result.Response
 	parsed := f.Protocol.ParseAnswer(response.Status, response.Header)
 	event.Result = response.Status
 	failed := response.Status >= http.StatusInternalServerError
 	usual := f.usual(fl.route)
-	f.ended(fl, b, func(now time.Duration) {
+	f.ended(b, func(now time.Duration) {
 		if parsed.HasLoad {
 			b.report(parsed.Load, now)
 		}
@@ -243,13 +334,14 @@
 		reason := pickNoServer
 		if entry := f.Table.Find(fl.service.Name, fl.call.Key); entry != nil && entry.Backend != "" && !entry.Moving {
 			var b *backend
-			if b, reason = f.Servers.owner(f.Directory.View(), entry.Backend, fl.service); b != nil {
+			left := fl.deadline - f.Clock.Now()
+			if b, reason = f.Servers.owner(f.Directory.View(), entry.Backend, fl.service, f.usual(fl.route), left); b != nil {
 				fl.event.Waited += f.Clock.Now() - started
 				return b, nil
 			}
 		}
 		now := f.Clock.Now()
-		if now >= until || ctx.Err() != nil {
+		if now >= until || ctx.Err() != nil || reason == pickAllFull || reason == pickTooLate {
 			fl.event.Waited += now - started
 			return nil, f.refuse(fl, http.StatusServiceUnavailable, "owner-"+string(reason))
 		}
--- a/internal/forward/backend.go
+++ b/internal/forward/backend.go
@@ -42,11 +42,13 @@
 	// pausedUntil is when requests may go there again after connection failures.
 	pausedUntil time.Duration
 	pause       time.Duration
-	// coldUntil is when the backend server counts as warm, by its entry or after a
-	// loss of its connections.
-	coldUntil time.Duration
-	nextCold  time.Duration // earliest time of the next request while cold
-	local     bool
+	// coldUntil is when the backend server counts as warm, by its entry or after it
+	// refused a connection at suspectAt.
+	coldUntil    time.Duration
+	suspectAt    time.Duration
+	suspectUntil time.Duration
+	nextCold     time.Duration // earliest time of the next request while cold
+	local        bool
 }
 
 func (b *backend) standing(now time.Duration) Standing {
@@ -97,11 +99,15 @@
 	b.result(false, now)
 }
 
-// broken notes that a connection could not be made or broke. A backend server that
-// restarted is cold, and its entry tells so only later.
-func (b *backend) broken(now, coldFor time.Duration) {
+// broken notes that a connection broke or could not be made. A backend server that
+// refused a connection may be restarting; it is cold then, and its entry tells so
+// only later.
+func (b *backend) broken(now time.Duration, refused bool, coldFor time.Duration) {
 	b.result(true, now)
 	b.pause = min(lastPause, max(firstPause, 2*b.pause))
 	b.pausedUntil = now + b.pause
-	b.coldUntil = max(b.coldUntil, now+coldFor)
+	if refused {
+		b.suspectAt, b.suspectUntil = now, now+coldFor
+		b.coldUntil = max(b.coldUntil, b.suspectUntil)
+	}
 }
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -32,6 +32,7 @@
 	At     time.Duration // since the request was received
 	Took   time.Duration
 	Reused bool
+	Hedge  bool // sent beside a slow first attempt
 	// Fence is the fencing token of the owner that was chosen; 0 for services without keys.
 	Fence int64
 	// Busy and ReportAge are the estimated load at the choice and its age.
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,8 +20,14 @@
 const (
 	// coldSafety is the part of the bound of a cold backend server that is used.
 	coldSafety = 0.75
+	// connectionPart is the part of a backend server's connections that requests use.
+	// The rest is for grants, and for VMs that are not counted yet.
+	connectionPart = 0.8
 	// coldWindow is the window of that bound.
 	coldWindow = time.Second
+	// suspectTime is how long after a refused connection an entry must arrive to tell
+	// that the backend server is warm: an older entry may be from before its restart.
+	suspectTime = time.Second
 	// coldGuard is added to the window, for requests that arrive earlier or later
 	// than they were sent.
 	coldGuard = 30 * time.Millisecond
@@ -74,10 +81,10 @@
 			}
 			s.byID[id] = known
 		}
-		if listed.Updated > known.Updated {
-			known.coldUntil = max(listed.ColdUntil, 0)
+		if listed.Updated > known.suspectAt+suspectTime {
+			known.suspectUntil = 0
 		}
-		known.coldUntil = max(known.coldUntil, listed.ColdUntil)
+		known.coldUntil = max(known.suspectUntil, listed.ColdUntil)
 		known.Backend = listed
 		if view.Usable(&listed) {
 			s.byService[listed.Service] = append(s.byService[listed.Service], known)
@@ -126,6 +133,7 @@
 func (s *Servers) cheapest(service *fleet.Service, tried []string, now, usual, left time.Duration, paused bool) (*backend, pickReason) {
 	var best *backend
 	lowest := 0.0
+	connections := s.connections(service)
 	reason := pickNoServer
 	for _, b := range s.byService[service.Name] {
 		if slices.Contains(tried, b.ID) || !paused && now < b.pausedUntil {
@@ -136,7 +144,7 @@
 		case now < b.coldUntil && now < b.nextCold:
 			reason = pickColdLimit
 			continue
-		case standing.Full():
+		case standing.Full() || b.own >= connections:
 			reason = pickAllFull
 			continue
 		case standing.Expected(usual) > left:
@@ -154,11 +162,22 @@
 // count notes a request that is about to be sent.
 func (s *Servers) count(b *backend, service *fleet.Service, now time.Duration) {
 	b.own++
+	b.pool.SetLimit(s.connections(service))
 	if now < b.coldUntil {
 		b.nextCold = now + s.coldSpacing(service)
 	}
 }
 
+// connections is the number of connections that this VM may have to one backend
+// server of the service: its part of what the backend server accepts. Beyond that
+// the backend server resets connections, also those for grants.
+func (s *Servers) connections(service *fleet.Service) int {
+	if service.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return max(1, int(connectionPart*float64(service.MaxConnections)/float64(max(1, s.vms()))))
+}
+
 // coldSpacing is the time between this VM's requests to a cold backend server. In
 // any window each VM sends at most as many as its part of the bound.
 func (s *Servers) coldSpacing(service *fleet.Service) time.Duration {
@@ -171,7 +190,7 @@
 }
 
 // owner counts a request at a given backend server, for keyed services.
-func (s *Servers) owner(view *directory.View, id string, service *fleet.Service) (*backend, pickReason) {
+func (s *Servers) owner(view *directory.View, id string, service *fleet.Service, usual, left time.Duration) (*backend, pickReason) {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,8 +199,14 @@
 	if b == nil || !view.Usable(&b.Backend) {
 		return nil, pickNoServer
 	}
-	if now < b.coldUntil && now < b.nextCold {
+	standing := b.standing(now)
+	switch {
+	case now < b.coldUntil && now < b.nextCold:
 		return nil, pickColdLimit
+	case standing.Full() || b.own >= s.connections(service):
+		return nil, pickAllFull
+	case standing.Expected(usual) > left:
+		return nil, pickTooLate
 	}
 	s.count(b, service, now)
 	return b, pickedNone
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -561,6 +561,9 @@
 	default:
 		// The process may have restarted, or seen a late call with a higher token.
 		c.renumber(u)
+		if !errors.Is(err, ErrSessionLost) && !errors.Is(err, ErrFenced) {
+			u.nextCall = now + releaseRetry
+		}
 	}
 }
 
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -22,9 +22,9 @@
 	// reportTimeout bounds the append of a report.
 	reportTimeout = 800 * time.Millisecond
 	// reportRead is the least time between reads of all reports.
-	reportRead = 700 * time.Millisecond
+	reportRead = 500 * time.Millisecond
 	// weightLife is the time constant of the load of keys.
-	weightLife = 6 * time.Second
+	weightLife = 3 * time.Second
 )
 
 // collector sends this VM's reports and, while it holds the lease, collects those
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,8 +16,8 @@
 	// DialTimeout bounds the time to connect to a backend server. Links take a few ms;
 	// a lost packet is sent again after 200 ms and more.
 	DialTimeout = 350 * time.Millisecond
-	// maxIdle is the number of idle connections that are kept to one backend server
-	// beyond its slots.
+	// maxIdle is the number of idle connections that are kept to one backend server:
+	// more than its slots are never busy at once for long.
 	maxIdle = 6
 	// raceFraction: after a reset on a kept connection, connections are kept for this
 	// part of the idle time at which it happened.
@@ -41,6 +41,7 @@
 	mu    sync.Mutex
 	idle  []*conn
 	open  int
+	limit int // most connections that are kept open; 0 means no limit
 	dials int
 	// idleLimit bounds the idle time after connections were dropped by the peer;
 	// 0 means no bound. limitAt is when it was set.
@@ -54,6 +55,13 @@
 	return &Pool{address: address, clock: c, responder: responder}
 }
 
+// SetLimit sets the number of connections that are kept open.
+func (p *Pool) SetLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = n
+}
+
 // Result is the outcome of one exchange.
 type Result struct {
 	Response *Response
@@ -190,7 +198,7 @@
 	c.used++
 	c.idle = p.clock.Now()
 	p.mu.Lock()
-	if p.closed || len(p.idle) >= maxIdle {
+	if p.closed || len(p.idle) >= maxIdle || p.limit > 0 && p.open > p.limit {
 		p.mu.Unlock()
 		p.drop(c)
 		return
