Read the log through the holder of the lease

VMs now poll the lease holder over the peers' WebSocket; a VM whose relay fails or is out of date reads the log itself.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -40,6 +40,16 @@
 	DecodeBackend  func(sharedlog.Record) BackendChange
 }
 
+// Repeats reports whether an entry of a backend server tells nothing new. Most
+// entries are heartbeats.
+func (s *Sources) Repeats(before, after sharedlog.Record) bool {
+	if len(before.Value) == 0 || len(after.Value) == 0 {
+		return false
+	}
+	a, b := s.DecodeBackend(before), s.DecodeBackend(after)
+	return a.Err == nil && b.Err == nil && a.Backend == b.Backend
+}
+
 // View is an immutable view of the fleet.
 type View struct {
 	Config    *fleet.Config
@@ -276,15 +286,17 @@
 	return changed
 }
 
-// readFailed notes that the catalogue cannot be read.
-func (d *Directory) readFailed() {
-	now := d.clock.Now()
+// readFailed notes that the catalogue could not be read at that time.
+func (d *Directory) readFailed(at time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.failedAt = now
+	if at <= d.failedAt {
+		return
+	}
+	d.failedAt = at
 	for id, backend := range d.backends {
 		if backend.Lapsed != 0 {
-			backend.Lapsed = now + returnGrace
+			backend.Lapsed = at + returnGrace
 			d.backends[id] = backend
 		}
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,7 +15,7 @@
 const (
 	// operatorWait is how long a read of the operator's topic waits for a record. A
 	// read confirms the configuration as of its start, so this bounds its age.
-	operatorWait = time.Second
+	operatorWait = 500 * time.Millisecond
 	// backendInterval is the least time between reads of the catalogue, to which
 	// every backend server writes about once a second.
 	backendInterval = 600 * time.Millisecond
@@ -22,59 +24,108 @@
 	lastRetry  = 400 * time.Millisecond
 )
 
-// Run follows both topics until ctx ends.
-func (d *Directory) Run(ctx context.Context, log sharedlog.Log) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		Follow(ctx, log, Follower{
-			Topic: d.source.BackendTopic, Interval: backendInterval, Log: d.log,
-			Apply:  func(b sharedlog.Batch, whole bool, _ time.Duration) { d.applyBackends(b.Records, whole) },
-			Failed: d.readFailed, Now: d.clock.Now,
-		})
-	}()
-	Follow(ctx, log, Follower{
-		Topic: d.source.OperatorTopic, Wait: func() time.Duration { return operatorWait }, Log: d.log,
-		Apply: func(b sharedlog.Batch, whole bool, sent time.Duration) {
-			d.applyOperator(b.Records, whole)
-			d.confirmed.Store(int64(sent))
+// Followers returns the followers of both topics.
+func (d *Directory) Followers() []*Follower {
+	return []*Follower{
+		{
+			Topic: d.source.OperatorTopic, Wait: func() time.Duration { return operatorWait }, Log: d.log, Now: d.clock.Now,
+			Apply: func(b sharedlog.Batch, info BatchInfo) {
+				d.applyOperator(b.Records, info.Whole)
+				d.confirm(info.Sent)
+			},
 		},
-		Now: d.clock.Now,
-	})
-	<-done
+		{
+			Topic: d.source.BackendTopic, Interval: backendInterval, Log: d.log, Now: d.clock.Now,
+			Apply: func(b sharedlog.Batch, info BatchInfo) {
+				if info.Failed != 0 {
+					d.readFailed(info.Failed)
+				}
+				d.applyBackends(b.Records, info.Whole)
+			},
+		},
+	}
+}
+
+// confirm notes that the configuration was the newest at a reading of the clock.
+func (d *Directory) confirm(at time.Duration) {
+	for {
+		known := d.confirmed.Load()
+		if int64(at) <= known || d.confirmed.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
+// BatchInfo tells where a batch comes from.
+type BatchInfo struct {
+	// Whole batches hold all that the topic holds.
+	Whole bool
+	// Sent is a time at which the topic held no record beyond the batch that is not in it.
+	Sent time.Duration
+	// Failed is when the topic last could not be read; 0 for not lately.
+	Failed time.Duration
 }
 
-// Follower says how to follow a topic.
+// Follower follows a keyed topic: first the newest record of each key, then what
+// comes after. Batches come from the log, or from another VM through Deliver.
 type Follower struct {
 	Topic string
 	// Wait returns how long the next read waits for a record; nil means not at all.
 	Wait func() time.Duration
 	// Interval is the least time between reads.
 	Interval time.Duration
-	// Apply gets each batch, whether it is all that the topic holds, and when the
-	// read was sent.
-	Apply func(batch sharedlog.Batch, whole bool, sent time.Duration)
-	// Failed is called after each failed read; nil does nothing.
-	Failed func()
-	Now    func() time.Duration
-	Log    *zap.Logger
+	// Apply gets each batch in order. Calls do not overlap.
+	Apply func(batch sharedlog.Batch, info BatchInfo)
+	// Pause returns a channel that is closed when the log is to be read again, or nil
+	// to read it now; a nil function always reads.
+	Pause func() <-chan struct{}
+	Now   func() time.Duration
+	Log   *zap.Logger
+
+	mu      sync.Mutex
+	next    int64 // offset to read from; valid if started
+	started bool
+	failed  time.Duration
+}
+
+// Cursor returns the offset to read on from, or -1 before the first batch.
+func (f *Follower) Cursor() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.started {
+		return -1
+	}
+	return f.next
+}
+
+// Deliver takes a batch. Records that were taken before are left out.
+func (f *Follower) Deliver(batch sharedlog.Batch, info BatchInfo) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.started && batch.Next < f.next {
+		return
+	}
+	if !info.Whole {
+		if !f.started {
+			return
+		}
+		batch.Records = slices.DeleteFunc(batch.Records, func(r sharedlog.Record) bool { return r.Offset < f.next })
+	}
+	f.started, f.next = true, batch.Next
+	f.Apply(batch, info)
 }
 
-// Follow reads a keyed topic until ctx ends: first the newest record of each key,
-// then what follows.
-func Follow(ctx context.Context, log sharedlog.Log, f Follower) {
-	next := int64(-1)
+// Run reads the log until ctx ends, except while it is paused.
+func (f *Follower) Run(ctx context.Context, log sharedlog.Log) {
 	retry := firstRetry
 	lost := false
 	for ctx.Err() == nil {
-		sent := f.Now()
-		whole := next < 0
-		batch, err := f.read(ctx, log, next)
-		switch {
-		case errors.Is(err, sharedlog.ErrTrimmed):
-			next = -1
+		if f.pause(ctx) {
 			continue
-		case err != nil:
+		}
+		sent := f.Now()
+		batch, whole, err := f.read(ctx, log)
+		if err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -82,9 +133,8 @@
 				lost = true
 				f.Log.Warn("log topic lost", zap.String("topic", f.Topic), zap.Error(err))
 			}
-			if f.Failed != nil {
-				f.Failed()
-			}
+			f.failed = f.Now()
+			f.Deliver(sharedlog.Batch{Next: f.Cursor()}, BatchInfo{Sent: sent - staleRead, Failed: f.failed})
 			sleep(ctx, retry)
 			retry = min(2*retry, lastRetry)
 			continue
@@ -94,23 +144,47 @@
 			f.Log.Info("log topic regained", zap.String("topic", f.Topic), zap.Int64("next", batch.Next))
 		}
 		retry = firstRetry
-		next = batch.Next
-		f.Apply(batch, whole, sent)
+		f.Deliver(batch, BatchInfo{Whole: whole, Sent: sent, Failed: f.failed})
 		if spent := f.Now() - sent; spent < f.Interval {
 			sleep(ctx, f.Interval-spent)
 		}
 	}
 }
 
-func (f *Follower) read(ctx context.Context, log sharedlog.Log, next int64) (sharedlog.Batch, error) {
-	if next < 0 {
-		return log.Newest(ctx, f.Topic)
+// staleRead is subtracted from the time of a failed read, which confirms nothing.
+const staleRead = time.Hour
+
+// pause waits while the log is not to be read, and reports whether it did.
+func (f *Follower) pause(ctx context.Context) bool {
+	if f.Pause == nil {
+		return false
+	}
+	resume := f.Pause()
+	if resume == nil {
+		return false
 	}
-	wait := time.Duration(0)
-	if f.Wait != nil {
-		wait = f.Wait()
+	select {
+	case <-resume:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// read reads on, or all newest records at first and after records were lost.
+func (f *Follower) read(ctx context.Context, log sharedlog.Log) (sharedlog.Batch, bool, error) {
+	next := f.Cursor()
+	if next >= 0 {
+		wait := time.Duration(0)
+		if f.Wait != nil {
+			wait = f.Wait()
+		}
+		batch, err := log.Read(ctx, f.Topic, next, wait)
+		if !errors.Is(err, sharedlog.ErrTrimmed) {
+			return batch, false, err
+		}
 	}
-	return log.Read(ctx, f.Topic, next, wait)
+	batch, err := log.Newest(ctx, f.Topic)
+	return batch, true, err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -64,11 +64,12 @@
 		fl.event.Reason = "no-time"
 		return false
 	}
-	limit := fl.route.MaxAttempts
+	// Sends that did not run leave room for one more than the limit allows to run.
+	limit := fl.route.MaxAttempts + 1
 	if fl.service.Keyed {
 		limit = max(limit, ownerTries)
 	}
-	if number >= limit {
+	if fl.runs >= fl.route.MaxAttempts || fl.sends >= limit || number >= limit {
 		fl.event.Reason = "attempts-used"
 		return false
 	}
@@ -161,7 +162,7 @@
 // backend server. It answers backend servers that are slow for a fraction of a
 // second, which reports show too late.
 func (f *Forwarder) hedgeDelay(fl *flight) (time.Duration, bool) {
-	if !fl.route.Idempotent || fl.service.Keyed || fl.route.MaxAttempts <= len(fl.tried)+1 {
+	if !fl.route.Idempotent || fl.service.Keyed || fl.runs+1 >= fl.route.MaxAttempts {
 		return 0, false
 	}
 	usual := f.usual(fl.route)
@@ -201,6 +202,8 @@
 		Header: header, Body: fl.request.Body, HasBody: fl.request.HasBody,
 	}
 	fl.tried = append(fl.tried, b.ID)
+	fl.sends++
+	fl.runs++
 	go func() {
 		r.result = b.pool.Do(ctx, request)
 		r.event.Took, r.event.Reused = f.Clock.Now()-now, r.result.Reused
@@ -215,6 +218,7 @@
 	switch result.Fate {
 	case upstream.FateNotSent:
 		event.Detail = "not sent: " + result.Err.Error()
+		fl.runs--
 		f.ended(b, func(now time.Duration) {
 			if ctx.Err() == nil {
 				b.broken(now, result.Refused, fl.service.ColdFor)
@@ -271,6 +275,7 @@
 	})
 	if parsed.NotRun {
 		event.Detail = "not run"
+		fl.runs--
 		return f.notRun(fl, parsed)
 	}
 	fl.sent = true
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -88,6 +88,8 @@
 	deadline time.Duration
 	event    Event
 	tried    []string
+	// sends counts the sends to backend servers; runs those of them that may have run.
+	sends, runs int
 	// sent tells that a backend server may have received the request.
 	sent bool
 	// unknown tells that an attempt may have run without an answer.
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -44,7 +44,9 @@
 	Clock    clock.Clock
 	Table    *Table
 	Instance string
-	Logger   *zap.Logger
+	// Address is where other VMs reach this one.
+	Address string
+	Logger  *zap.Logger
 	// Input returns what is known of the fleet; false while nothing is.
 	Input func() (Input, bool)
 	// Wake returns a channel that is closed when the input changes.
@@ -99,14 +101,6 @@
 	l.appends = make(chan appended, 4)
 	l.stopped = make(chan struct{})
 	defer close(l.stopped)
-	go directory.Follow(ctx, l.Log, directory.Follower{
-		Topic: l.Topic, Wait: l.readWait, Log: l.Logger, Now: l.Clock.Now,
-		Apply: func(b sharedlog.Batch, _ bool, sent time.Duration) {
-			if beat := l.Table.apply(b, sent, l.Clock.Now()); beat != nil {
-				l.OnBeat(beat)
-			}
-		},
-	})
 	for ctx.Err() == nil {
 		l.step(ctx)
 		l.wait(ctx)
@@ -119,6 +113,18 @@
 	return min(ClaimAfter, max(shortWait, l.Table.lastHeard()+ClaimAfter-l.Clock.Now()))
 }
 
+// Follower returns the follower of the topic.
+func (l *Lessor) Follower() *directory.Follower {
+	return &directory.Follower{
+		Topic: l.Topic, Wait: l.readWait, Log: l.Logger, Now: l.Clock.Now,
+		Apply: func(b sharedlog.Batch, info directory.BatchInfo) {
+			if beat := l.Table.apply(b, info.Sent, l.Clock.Now()); beat != nil {
+				l.OnBeat(beat)
+			}
+		},
+	}
+}
+
 // Prepare must be called before Run and Stop.
 func (l *Lessor) Prepare() { l.stopping = make(chan struct{}) }
 
@@ -229,7 +235,9 @@
 	version := h.core.Version()
 	var records []sharedlog.Record
 	if version > h.core.accepted {
-		content, err := h.core.State().Encode()
+		state := h.core.State()
+		state.Address = l.Address
+		content, err := state.Encode()
 		if err != nil {
 			l.Logger.Error("assignment cannot be encoded", zap.Error(err))
 			return
@@ -360,7 +368,7 @@
 	if current != nil {
 		state = current.Clone()
 	}
-	state.Holder = l.Instance
+	state.Holder, state.Address = l.Instance, l.Address
 	content, err := state.Encode()
 	if err != nil {
 		l.Logger.Error("claim cannot be encoded", zap.Error(err))
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -72,7 +72,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.next, t.read = batch.Next, sent
+	t.next, t.read = batch.Next, max(t.read, sent)
 	if len(batch.Records) > 0 {
 		t.heard = now
 	}
--- a/internal/keyrange/keyrange.go
+++ b/internal/keyrange/keyrange.go
@@ -44,8 +44,9 @@
 // Assignment is the recorded state of all key spaces. The holder of the lease on
 // assignments records a grant here before it sends it.
 type Assignment struct {
-	Holder   string             `cbor:"1,keyasint"` // VM instance that may change assignments; empty: none
-	Fence    int64              `cbor:"2,keyasint"` // highest fencing token in use
+	Holder   string             `cbor:"1,keyasint"`           // VM instance that may change assignments; empty: none
+	Address  string             `cbor:"4,keyasint,omitempty"` // HOST:PORT at which other VMs reach the holder
+	Fence    int64              `cbor:"2,keyasint"`           // highest fencing token in use
 	Services map[string][]Entry `cbor:"3,keyasint,omitempty"`
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// Drop closes the connection to an address, if there is one. A connection may go
+// silent without an error.
+func (c *Client) Drop(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		conn.close()
+		delete(c.conns, address)
+	}
+}
+
 // Call sends one message to the VM at the address and decodes its answer into
 // reply. It returns the identity of the process that answered. The error is of
 // type *RemoteError or *UnreachableError.
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -22,7 +22,7 @@
 	// reportTimeout bounds the append of a report.
 	reportTimeout = 800 * time.Millisecond
 	// reportRead is the least time between reads of all reports.
-	reportRead = 500 * time.Millisecond
+	reportRead = 900 * time.Millisecond
 	// weightLife is the time constant of the load of keys.
 	weightLife = 3 * time.Second
 )
@@ -30,22 +30,21 @@
 // collector sends this VM's reports and, while it holds the lease, collects those
 // of all VMs.
 type collector struct {
-	r        *Router
-	sequence int64
+	r *Router
 
 	mu        sync.Mutex
+	reported  time.Duration // when the last report was made for the relay
 	allocator *share.Allocator
 	weights   map[string]*keyrange.Weight
 	decayed   time.Duration
-	seen      map[string]int64 // sequence of the last report whose keys were counted
 	cancel    context.CancelFunc
 }
 
 func newCollector(r *Router) *collector {
-	return &collector{r: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight), seen: make(map[string]int64)}
+	return &collector{r: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight)}
 }
 
-// run sends reports until ctx ends.
+// run sends reports until ctx ends. While a relay is in use they travel with its polls.
 func (c *collector) run(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
@@ -59,6 +58,9 @@
 		if c.r.stopping.Load() {
 			return
 		}
+		if c.r.relay.Active() {
+			continue
+		}
 		err := c.send(ctx)
 		if (err != nil) != failing {
 			failing = err != nil
@@ -67,22 +69,63 @@
 	}
 }
 
-func (c *collector) send(ctx context.Context) error {
-	c.sequence++
-	report := share.Report{
-		Domain: c.r.o.Domain, Demand: c.r.limiter.Demand(c.r.clock.Now()),
-		Keys: c.r.forwarder.TakeKeys(), Sequence: c.sequence,
+// due returns an encoded report if reportInterval has passed since the last one.
+func (c *collector) due() []byte {
+	now := c.r.clock.Now()
+	c.mu.Lock()
+	late := now-c.reported >= reportInterval
+	if late {
+		c.reported = now
+	}
+	c.mu.Unlock()
+	if !late {
+		return nil
+	}
+	content, err := c.encode()
+	if err != nil {
+		c.r.log.Error("report cannot be encoded", zap.Error(err))
+		return nil
 	}
-	content, err := share.Encode(report)
+	return content
+}
+
+func (c *collector) encode() ([]byte, error) {
+	return share.Encode(share.Report{
+		Domain: c.r.o.Domain, Demand: c.r.limiter.Demand(c.r.clock.Now()), Keys: c.r.forwarder.TakeKeys(),
+	})
+}
+
+// send hands a report to this VM's own collection, or appends it to the log.
+func (c *collector) send(ctx context.Context) error {
+	content, err := c.encode()
 	if err != nil {
 		return err
 	}
+	if c.r.holds.Load() {
+		c.take(c.r.o.VM, content)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	_, err = c.r.o.Log.Append(ctx, c.r.o.ReportTopic, []sharedlog.Record{{Key: c.r.o.VM, Value: content}}, sharedlog.AnyEnd)
 	return err
 }
 
+// take takes a report of a VM.
+func (c *collector) take(vm string, content []byte) {
+	var report share.Report
+	if err := share.Decode(content, &report); err != nil {
+		c.r.log.Error("report cannot be read", zap.String("vm", vm), zap.Error(err))
+		return
+	}
+	now := c.r.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decay(now)
+	c.allocator.Observe(vm, report, now)
+	c.weigh(report)
+}
+
 // leave removes this VM's report, so that its shares go to the others.
 func (c *collector) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -105,32 +148,24 @@
 	}
 	c.allocator = share.NewAllocator()
 	clear(c.weights)
-	clear(c.seen)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
-	go directory.Follow(ctx, c.r.o.Log, directory.Follower{
+	follower := &directory.Follower{
 		Topic: c.r.o.ReportTopic, Interval: reportRead, Log: c.r.log, Now: c.r.clock.Now, Apply: c.apply,
-	})
+	}
+	go follower.Run(ctx, c.r.o.Log)
 }
 
-func (c *collector) apply(batch sharedlog.Batch, whole bool, _ time.Duration) {
-	now := c.r.clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.decay(now)
+// apply takes reports of VMs that reach the log only.
+func (c *collector) apply(batch sharedlog.Batch, info directory.BatchInfo) {
 	for _, record := range batch.Records {
-		if len(record.Value) == 0 {
+		switch {
+		case len(record.Value) == 0:
+			c.mu.Lock()
 			c.allocator.Forget(record.Key)
-			continue
-		}
-		var report share.Report
-		if err := share.Decode(record.Value, &report); err != nil {
-			c.r.log.Error("report cannot be read", zap.String("vm", record.Key), zap.Error(err))
-			continue
-		}
-		c.allocator.Observe(record.Key, report, now)
-		if !whole {
-			c.weigh(report)
+			c.mu.Unlock()
+		case !info.Whole:
+			c.take(record.Key, record.Value)
 		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,8 @@
 	"fireflyfield/internal/front"
 	"fireflyfield/internal/keylease"
 	"fireflyfield/internal/metrics"
+	"fireflyfield/internal/peer"
+	"fireflyfield/internal/relay"
 	"fireflyfield/internal/share"
 	"fireflyfield/internal/sharedlog"
 	"fireflyfield/internal/upstream"
@@ -40,6 +42,7 @@
 	ReadyListen   string
 	ReadyPath     string
 	MetricsListen string
+	PeerListen    string // HOST:PORT at which other VMs reach this one
 
 	Log         sharedlog.Log
 	Sources     directory.Sources
@@ -70,7 +73,7 @@
 	revokeMargin = 400 * time.Millisecond
 	// maxReadyAge is the age of the configuration above which the VM says that it is
 	// not ready, while others may be.
-	maxReadyAge = 2500 * time.Millisecond
+	maxReadyAge = 3500 * time.Millisecond
 	// idleSweep is the time between sweeps of idle connections.
 	idleSweep = 2 * time.Second
 	// leaveDelay is the time between the signal to stop and the end of idle
@@ -93,6 +96,9 @@
 	lessor    *keylease.Lessor
 	metrics   *metrics.Metrics
 	collector *collector
+	peers     *peer.Server
+	relay     *relay.Client
+	followers []*directory.Follower
 	front     *front.Server
 	stopping  atomic.Bool
 	holds     atomic.Bool
@@ -120,16 +126,47 @@
 	r.collector = newCollector(r)
 	r.lessor = &keylease.Lessor{
 		Log: o.Log, Topic: o.LeaseTopic, Granter: o.Granter, Clock: r.clock, Table: r.table,
-		Instance: o.Instance, Logger: r.log, Input: r.collector.input, Wake: r.directory.Changed,
+		Instance: o.Instance, Address: o.PeerListen, Logger: r.log, Input: r.collector.input, Wake: r.directory.Changed,
 		Beat: r.collector.beat, OnBeat: r.onBeat, OnHold: r.onHold,
 	}
 	r.lessor.Prepare()
+	r.buildRelay()
 	r.front = &front.Server{
 		Handler: r.forwarder, Clock: r.clock, Log: r.log, Limits: r.limits, MaxConnections: o.MaxConnections,
 	}
 	return r, nil
 }
 
+// buildRelay sets up the followers of the log's topics and the exchange with other
+// VMs that saves most of their reads.
+func (r *Router) buildRelay() {
+	identity := peer.Identity{Version: peer.Version, VM: r.o.VM, Instance: r.o.Instance, FailureDomain: r.o.Domain}
+	r.followers = append(r.directory.Followers(), r.lessor.Follower())
+	cache := relay.NewCache(r.clock.Now, map[string]func(before, after sharedlog.Record) bool{
+		r.o.Sources.BackendTopic: r.o.Sources.Repeats,
+	})
+	for _, f := range r.followers {
+		cache.Wrap(f)
+	}
+	r.peers = peer.NewServer(identity, "", r.log)
+	relay.Serve(r.peers, cache, r.collector.take)
+	r.relay = &relay.Client{
+		Peers: peer.NewClient(identity, ""), Followers: r.followers, Address: r.relayAddress,
+		Report: r.collector.due, Now: r.clock.Now, Log: r.log,
+	}
+	r.relay.Prepare()
+}
+
+// relayAddress returns the address of the holder of the lease, which reads the log
+// for all VMs.
+func (r *Router) relayAddress() string {
+	current := r.table.Current()
+	if current == nil || current.Holder == "" || current.Holder == r.o.Instance || r.holds.Load() {
+		return ""
+	}
+	return current.Address
+}
+
 // Run serves until ctx ends, and then stops gracefully.
 func (r *Router) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp4", r.o.FrontListen)
@@ -143,9 +180,15 @@
 	if err := r.serveHTTP(r.o.MetricsListen, r.metricsMux()); err != nil {
 		return errors.Wrap(err, "metrics listener")
 	}
+	if err := r.serveHTTP(r.o.PeerListen, r.peerMux()); err != nil {
+		return errors.Wrap(err, "listener for other VMs")
+	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	go r.directory.Run(background, r.o.Log)
+	for _, f := range r.followers {
+		go f.Run(background, r.o.Log)
+	}
+	go r.relay.Run(background)
 	go r.lessor.Run(background)
 	go r.collector.run(background)
 	go r.sweep(background)
@@ -208,6 +251,12 @@
 	return mux
 }
 
+func (r *Router) peerMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.ControlPath, r.peers)
+	return mux
+}
+
 // ready reports whether the VM should get new connections.
 func (r *Router) ready() bool {
 	return !r.stopping.Load() && r.directory.View() != nil && r.directory.ConfigAge() < maxReadyAge
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -54,8 +54,6 @@
 	Demand map[string]float32 `cbor:"2,keyasint,omitempty"`
 	// Keys are the requests of keyed services by key since the last report.
 	Keys map[string][]KeyCount `cbor:"3,keyasint,omitempty"`
-	// Sequence grows with each report of one process.
-	Sequence int64 `cbor:"4,keyasint"`
 }
 
 // Allotment is the division of all rates among VMs.
