--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -219,27 +219,26 @@
 	case upstream.FateNotSent:
 		event.Detail = "not sent: " + result.Err.Error()
 		fl.runs--
-		f.ended(b, func(now time.Duration) {
-			if ctx.Err() == nil {
-				b.broken(now, result.Refused, fl.service.ColdFor)
-			}
-		})
 		fl.event.Reason = "not-sent"
-		return nil, ctx.Err() == nil
+		if ctx.Err() != nil {
+			f.ended(b, func(time.Duration) {})
+			return nil, false
+		}
+		f.Servers.broke(b, fl.service, result.Refused)
+		return nil, true
 	case upstream.FateUnknown:
 		event.Detail = result.Err.Error()
 		fl.sent, fl.unknown = true, true
-		f.ended(b, func(now time.Duration) {
-			switch {
-			case ctx.Err() != nil:
-				b.result(f.Clock.Now() >= fl.deadline, now)
-			case !result.Reused:
-				b.broken(now, false, fl.service.ColdFor)
-			default:
-				b.result(true, now)
-			}
-		})
-		return nil, fl.route.Idempotent && ctx.Err() == nil
+		switch {
+		case ctx.Err() != nil:
+			f.ended(b, func(now time.Duration) { b.result(now >= fl.deadline, now) })
+			return nil, false
+		case result.Reused:
+			f.ended(b, func(now time.Duration) { b.result(true, now) })
+		default:
+			f.Servers.broke(b, fl.service, false)
+		}
+		return nil, fl.route.Idempotent
 	}
 	return f.answered(fl, r)
 }
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -23,6 +23,10 @@
 	// connectionPart is the part of a backend server's connections that requests use.
 	// The rest is for grants, and for VMs that are not counted yet.
 	connectionPart = 0.8
+	// coldScattered is the part of the bound that is used if VMs send less than one
+	// request in a window, each at its own time: at half the bound, three standard
+	// deviations stay below it.
+	coldScattered = 0.5
 	// coldWindow is the window of that bound.
 	coldWindow = time.Second
 	// suspectTime is how long after a refused connection an entry must arrive to tell
@@ -64,6 +68,7 @@
 		return
 	}
 	s.view = view
+	now := s.clock.Now()
 	for id, known := range s.byID {
 		listed, ok := view.Backends[id]
 		if !ok || listed.Address != known.Address || listed.Started != known.Started {
@@ -84,7 +89,11 @@
 		if listed.Updated > known.suspectAt+suspectTime {
 			known.suspectUntil = 0
 		}
+		wasCold := now < known.coldUntil
 		known.coldUntil = max(known.suspectUntil, listed.ColdUntil)
+		if service := view.Config.Service(listed.Service); !wasCold && now < known.coldUntil && service != nil {
+			s.beginCold(known, service, now)
+		}
 		known.Backend = listed
 		if view.Usable(&listed) {
 			s.byService[listed.Service] = append(s.byService[listed.Service], known)
@@ -179,14 +188,24 @@
 }
 
 // coldSpacing is the time between this VM's requests to a cold backend server. In
-// any window each VM sends at most as many as its part of the bound.
+// any window each VM sends at most its part of the bound. Where that is less than
+// one request, the VMs send at times of their own, and more of the bound is left.
 func (s *Servers) coldSpacing(service *fleet.Service) time.Duration {
-	bound := (service.ColdRate*s.cold.Factor + s.cold.Slack) * coldSafety
-	part := bound / float64(max(1, s.vms()))
-	if whole := int(part); whole >= 1 {
+	bound := service.ColdRate*s.cold.Factor + s.cold.Slack
+	vms := float64(max(1, s.vms()))
+	if whole := int(bound * coldSafety / vms); whole >= 1 {
 		return (coldWindow + coldGuard) / time.Duration(whole)
 	}
-	return time.Duration(float64(coldWindow+coldGuard) / max(part, 0.01))
+	return time.Duration(float64(coldWindow) * vms / max(bound*coldScattered, 0.01))
+}
+
+// beginCold notes that a backend server turned cold. The first request of each VM
+// comes at a random time, so that not all VMs send theirs at once.
+func (s *Servers) beginCold(b *backend, service *fleet.Service, now time.Duration) {
+	spacing := s.coldSpacing(service)
+	if spacing > coldWindow+coldGuard {
+		b.nextCold = now + time.Duration(s.random.Float64()*float64(spacing))
+	}
 }
 
 // owner counts a request at a given backend server, for keyed services.
@@ -212,6 +231,18 @@
 	return b, pickedNone
 }
 
+// broke notes that a connection to a backend server broke or could not be made.
+func (s *Servers) broke(b *backend, service *fleet.Service, refused bool) {
+	s.update(func(now time.Duration) {
+		b.own--
+		wasCold := now < b.coldUntil
+		b.broken(now, refused, service.ColdFor)
+		if !wasCold && now < b.coldUntil {
+			s.beginCold(b, service, now)
+		}
+	})
+}
+
 // update runs a change of one backend server's state under the lock.
 func (s *Servers) update(change func(now time.Duration)) {
 	now := s.clock.Now()
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -209,10 +209,10 @@
 		}
 		servers = c.reachable(servers, now)
 		known := make(map[string]Server, len(servers))
-		occupied := make(map[string]string, len(servers))
+		occupied := make(map[string]int64, len(servers)) // newest start of a process by address
 		for _, server := range servers {
 			known[server.ID] = server
-			occupied[server.Address] = server.ID
+			occupied[server.Address] = max(occupied[server.Address], server.Started)
 		}
 		c.free(service, known, occupied, now)
 		c.assign(service, servers, in.Weights[service], now)
@@ -261,7 +261,7 @@
 }
 
 // free takes ranges from owners that are gone, restarted or leaving.
-func (c *Core) free(service string, known map[string]Server, occupied map[string]string, now time.Duration) {
+func (c *Core) free(service string, known map[string]Server, occupied map[string]int64, now time.Duration) {
 	for _, u := range c.units[service] {
 		if u.entry.Backend == "" {
 			continue
@@ -271,8 +271,8 @@
 		case listed && server.Started != u.entry.Started:
 			// The process that held the keys has ended.
 			c.release(u, "", 0)
-		case !listed && occupied[u.entry.Address] != "":
-			// Another process has the address, so the owner's has ended.
+		case !listed && occupied[u.entry.Address] > u.entry.Started:
+			// A later process has the address, so the owner's has ended.
 			c.release(u, "", 0)
 		case u.entry.Moving && now >= u.heldUntil && !u.calling:
 			c.release(u, "", 0)
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -51,10 +51,11 @@
 	Input func() (Input, bool)
 	// Wake returns a channel that is closed when the input changes.
 	Wake func() <-chan struct{}
-	// Beat returns the content of the next beat, which all VMs get.
-	Beat func() []byte
-	// OnBeat gets each beat that was read.
-	OnBeat func(content []byte)
+	// Notices returns the contents of the next beat and of the list of members, which
+	// all VMs get.
+	Notices func() (beat, members []byte)
+	// OnBeat and OnMembers get the notices that were read.
+	OnBeat, OnMembers func(content []byte)
 	// OnHold is told when this VM takes or loses the lease.
 	OnHold func(held bool)
 
@@ -77,6 +78,7 @@
 	appending bool
 	nextBeat  time.Duration
 	nextTry   time.Duration
+	members   []byte // last recorded list of members
 }
 
 type result struct {
@@ -118,8 +120,12 @@
 	return &directory.Follower{
 		Topic: l.Topic, Wait: l.readWait, Log: l.Logger, Now: l.Clock.Now,
 		Apply: func(b sharedlog.Batch, info directory.BatchInfo) {
-			if beat := l.Table.apply(b, info.Sent, l.Clock.Now()); beat != nil {
-				l.OnBeat(beat)
+			n := l.Table.apply(b, info.Sent, l.Clock.Now())
+			if n.members != nil {
+				l.OnMembers(n.members)
+			}
+			if n.beat != nil {
+				l.OnBeat(n.beat)
 			}
 		},
 	}
@@ -245,7 +251,12 @@
 		records = append(records, sharedlog.Record{Key: keyAssignment, Value: content})
 	}
 	if now >= h.nextBeat {
-		records = append(records, sharedlog.Record{Key: keyBeat, Value: l.Beat()})
+		beat, members := l.Notices()
+		if !bytes.Equal(members, h.members) {
+			records = append(records, sharedlog.Record{Key: keyMembers, Value: members})
+			h.members = members
+		}
+		records = append(records, sharedlog.Record{Key: keyBeat, Value: beat})
 		h.nextBeat = now + BeatInterval
 	}
 	h.appending = true
@@ -311,7 +322,7 @@
 	default:
 		h.end = max(h.end, a.end)
 		h.nextTry = l.Clock.Now() + appendRetry
-		h.nextBeat = 0
+		h.nextBeat, h.members = 0, nil
 		l.Logger.Warn("append of the assignment failed", zap.Error(a.err), zap.Duration("unconfirmed", l.Clock.Now()-h.confirmed))
 	}
 }
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -15,6 +15,7 @@
 const (
 	keyAssignment = "assignment"
 	keyBeat       = "beat"
+	keyMembers    = "members"
 )
 
 // Table is the view that every VM has of the recorded assignment. Its lock is a
@@ -55,12 +56,17 @@
 // Changed returns a channel that is closed at the next change.
 func (t *Table) Changed() <-chan struct{} { return *t.changed.Load() }
 
-// apply takes a batch of records and returns the last beat in it, if any.
-func (t *Table) apply(batch sharedlog.Batch, sent, now time.Duration) (beat []byte) {
+// notices are the contents of the holder's notices in a batch; nil for none.
+type notices struct{ beat, members []byte }
+
+// apply takes a batch of records and returns the last notices in it.
+func (t *Table) apply(batch sharedlog.Batch, sent, now time.Duration) (n notices) {
 	for _, record := range batch.Records {
 		switch record.Key {
 		case keyBeat:
-			beat = record.Value
+			n.beat = record.Value
+		case keyMembers:
+			n.members = record.Value
 		case keyAssignment:
 			assignment, err := keyrange.Decode(record.Value)
 			if err != nil {
@@ -76,7 +82,7 @@
 	if len(batch.Records) > 0 {
 		t.heard = now
 	}
-	return beat
+	return n
 }
 
 func (t *Table) set(assignment *keyrange.Assignment) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,12 +34,15 @@
 
 type poll struct {
 	Cursors map[string]int64 `cbor:"1,keyasint"`
-	// Report is a report of the VM's load, if one is due.
-	Report []byte `cbor:"2,keyasint,omitempty"`
+	// Reports are the reports of load that are on their way to the holder of the lease:
+	// the VM's own and those of VMs that poll it.
+	Reports [][]byte `cbor:"2,keyasint,omitempty"`
 }
 
 type pollReply struct {
 	Topics map[string]topicReply `cbor:"1,keyasint"`
+	// WaitedMs is the time in ms between the arrival of the poll and the answer.
+	WaitedMs int64 `cbor:"2,keyasint"`
 }
 
 type topicReply struct {
@@ -63,12 +66,15 @@
 }
 
 // Serve answers polls from the cache. onReport gets the reports of other VMs.
-func Serve(s *peer.Server, c *Cache, onReport func(vm string, report []byte)) {
-	peer.Handle(s, messagePoll, maxPollBytes, func(ctx context.Context, from peer.Identity, p poll) (pollReply, error) {
-		if len(p.Report) > 0 {
-			onReport(from.VM, p.Report)
+func Serve(s *peer.Server, c *Cache, onReports func(reports [][]byte)) {
+	peer.Handle(s, messagePoll, maxPollBytes, func(ctx context.Context, _ peer.Identity, p poll) (pollReply, error) {
+		if len(p.Reports) > 0 {
+			onReports(p.Reports)
 		}
-		return c.answer(ctx, p.Cursors), nil
+		arrived := c.now()
+		reply := c.answer(ctx, p.Cursors)
+		reply.WaitedMs = (c.now() - arrived).Milliseconds()
+		return reply, nil
 	})
 }
 
@@ -112,10 +118,10 @@
 	Followers []*directory.Follower
 	// Address returns where the relay is, or "" if this VM should read the log itself.
 	Address func() string
-	// Report returns an encoded report if one is due, else nil.
-	Report func() []byte
-	Now    func() time.Duration
-	Log    *zap.Logger
+	// Reports returns the encoded reports that are due.
+	Reports func() [][]byte
+	Now     func() time.Duration
+	Log     *zap.Logger
 
 	mu     sync.Mutex
 	direct chan struct{} // closed while the followers read the log
@@ -186,7 +192,7 @@
 func (c *Client) poll(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer cancel()
-	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Report: c.Report()}
+	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Reports: c.Reports()}
 	for _, f := range c.Followers {
 		request.Cursors[f.Topic] = f.Cursor()
 	}
@@ -203,17 +209,18 @@
 		}
 	}
 	for _, f := range c.Followers {
-		c.deliver(f, reply.Topics[f.Topic], sent)
+		c.deliver(f, reply.Topics[f.Topic], sent+time.Duration(reply.WaitedMs)*time.Millisecond)
 	}
 	return nil
 }
 
-func (c *Client) deliver(f *directory.Follower, answer topicReply, sent time.Duration) {
+// deliver hands on the answer for one topic, which was made at a time not before answered.
+func (c *Client) deliver(f *directory.Follower, answer topicReply, answered time.Duration) {
 	batch := sharedlog.Batch{Next: answer.Next, End: answer.Next}
 	for _, r := range answer.Records {
 		batch.Records = append(batch.Records, sharedlog.Record{Key: r.Key, Offset: r.Offset, Value: r.Value})
 	}
-	info := directory.BatchInfo{Whole: answer.Whole, Sent: sent - time.Duration(answer.AgeMs)*time.Millisecond}
+	info := directory.BatchInfo{Whole: answer.Whole, Sent: answered - time.Duration(answer.AgeMs)*time.Millisecond}
 	if answer.FailedMs >= 0 {
 		info.Failed = c.Now() - time.Duration(answer.FailedMs)*time.Millisecond
 	}
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -23,6 +23,11 @@
 	reportTimeout = 800 * time.Millisecond
 	// reportRead is the least time between reads of all reports.
 	reportRead = 900 * time.Millisecond
+	// maxPassing bounds the reports that are kept to be passed on.
+	maxPassing = 512
+	// epochStep is the distance of the epochs of two holders of the lease, more than
+	// the changes of one.
+	epochStep = 1 << 20
 	// weightLife is the time constant of the load of keys.
 	weightLife = 3 * time.Second
 )
@@ -34,6 +39,7 @@
 
 	mu        sync.Mutex
 	reported  time.Duration // when the last report was made for the relay
+	passing   [][]byte      // reports of other VMs that are to be passed on
 	allocator *share.Allocator
 	weights   map[string]*keyrange.Weight
 	decayed   time.Duration
@@ -41,7 +47,7 @@
 }
 
 func newCollector(r *Router) *collector {
-	return &collector{r: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight)}
+	return &collector{r: r, allocator: share.NewAllocator(0), weights: make(map[string]*keyrange.Weight)}
 }
 
 // run sends reports until ctx ends. While a relay is in use they travel with its polls.
@@ -69,29 +75,48 @@
 	}
 }
 
-// due returns an encoded report if reportInterval has passed since the last one.
-func (c *collector) due() []byte {
+// due returns the reports for the relay: those of other VMs that arrived since the
+// last call, and this VM's own if reportInterval has passed since its last one.
+func (c *collector) due() [][]byte {
 	now := c.r.clock.Now()
 	c.mu.Lock()
+	reports := c.passing
+	c.passing = nil
 	late := now-c.reported >= reportInterval
 	if late {
 		c.reported = now
 	}
 	c.mu.Unlock()
 	if !late {
-		return nil
+		return reports
 	}
 	content, err := c.encode()
 	if err != nil {
 		c.r.log.Error("report cannot be encoded", zap.Error(err))
-		return nil
+		return reports
+	}
+	return append(reports, content)
+}
+
+// takeAll takes reports of other VMs: this VM collects them if it holds the lease,
+// else it passes them on.
+func (c *collector) takeAll(reports [][]byte) {
+	if c.r.holds.Load() {
+		for _, report := range reports {
+			c.take(report)
+		}
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.passing) < maxPassing {
+		c.passing = append(c.passing, reports...)
 	}
-	return content
 }
 
 func (c *collector) encode() ([]byte, error) {
 	return share.Encode(share.Report{
-		Domain: c.r.o.Domain, Demand: c.r.limiter.Demand(c.r.clock.Now()), Keys: c.r.forwarder.TakeKeys(),
+		Member: share.Member{VM: c.r.o.VM, Domain: c.r.o.Domain, Address: c.r.o.PeerListen}, Demand: c.r.limiter.Demand(c.r.clock.Now()), Keys: c.r.forwarder.TakeKeys(),
 	})
 }
 
@@ -102,7 +127,7 @@
 		return err
 	}
 	if c.r.holds.Load() {
-		c.take(c.r.o.VM, content)
+		c.take(content)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -112,17 +137,17 @@
 }
 
 // take takes a report of a VM.
-func (c *collector) take(vm string, content []byte) {
+func (c *collector) take(content []byte) {
 	var report share.Report
 	if err := share.Decode(content, &report); err != nil {
-		c.r.log.Error("report cannot be read", zap.String("vm", vm), zap.Error(err))
+		c.r.log.Error("report cannot be read", zap.Error(err))
 		return
 	}
 	now := c.r.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.decay(now)
-	c.allocator.Observe(vm, report, now)
+	c.allocator.Observe(report, now)
 	c.weigh(report)
 }
 
@@ -146,7 +171,7 @@
 	if !held {
 		return
 	}
-	c.allocator = share.NewAllocator()
+	c.allocator = share.NewAllocator(c.r.memberEpoch() + epochStep)
 	clear(c.weights)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
@@ -165,7 +190,7 @@
 			c.allocator.Forget(record.Key)
 			c.mu.Unlock()
 		case !info.Whole:
-			c.take(record.Key, record.Value)
+			c.take(record.Value)
 		}
 	}
 }
@@ -195,18 +220,23 @@
 	}
 }
 
-// beat returns the allotment of all rates.
-func (c *collector) beat() []byte {
+// notices returns the allotment of all rates and the list of VMs.
+func (c *collector) notices() (beat, members []byte) {
 	var workspaces []fleet.Workspace
 	if view := c.r.directory.View(); view != nil {
 		workspaces = view.Config.Workspaces
 	}
 	c.mu.Lock()
-	allotment := c.allocator.Allot(workspaces, c.r.clock.Now())
+	list := c.allocator.Members(c.r.clock.Now())
+	allotment := c.allocator.Allot(workspaces, list)
 	c.mu.Unlock()
-	content, err := share.Encode(allotment)
+	return c.notice(allotment), c.notice(list)
+}
+
+func (c *collector) notice(v any) []byte {
+	content, err := share.Encode(v)
 	if err != nil {
-		c.r.log.Error("allotment cannot be encoded", zap.Error(err))
+		c.r.log.Error("notice cannot be encoded", zap.Error(err))
 	}
 	return content
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,6 +102,7 @@
 	front     *front.Server
 	stopping  atomic.Bool
 	holds     atomic.Bool
+	members   atomic.Pointer[share.Members]
 }
 
 // New returns a VM that is not started.
@@ -127,7 +128,7 @@
 	r.lessor = &keylease.Lessor{
 		Log: o.Log, Topic: o.LeaseTopic, Granter: o.Granter, Clock: r.clock, Table: r.table,
 		Instance: o.Instance, Address: o.PeerListen, Logger: r.log, Input: r.collector.input, Wake: r.directory.Changed,
-		Beat: r.collector.beat, OnBeat: r.onBeat, OnHold: r.onHold,
+		Notices: r.collector.notices, OnBeat: r.onBeat, OnMembers: r.onMembers, OnHold: r.onHold,
 	}
 	r.lessor.Prepare()
 	r.buildRelay()
@@ -149,24 +150,45 @@
 		cache.Wrap(f)
 	}
 	r.peers = peer.NewServer(identity, "", r.log)
-	relay.Serve(r.peers, cache, r.collector.take)
+	relay.Serve(r.peers, cache, r.collector.takeAll)
 	r.relay = &relay.Client{
 		Peers: peer.NewClient(identity, ""), Followers: r.followers, Address: r.relayAddress,
-		Report: r.collector.due, Now: r.clock.Now, Log: r.log,
+		Reports: r.collector.due, Now: r.clock.Now, Log: r.log,
 	}
 	r.relay.Prepare()
 }
 
-// relayAddress returns the address of the holder of the lease, which reads the log
-// for all VMs.
+// relayAddress returns the address of the VM to poll; the holder of the lease reads
+// the log for all VMs.
 func (r *Router) relayAddress() string {
 	current := r.table.Current()
 	if current == nil || current.Holder == "" || current.Holder == r.o.Instance || r.holds.Load() {
 		return ""
 	}
+	if members := r.members.Load(); members != nil {
+		return relay.Parent(members.List, r.o.VM, r.o.Domain, current.Address)
+	}
 	return current.Address
 }
 
+// memberEpoch is the epoch of the newest list of VMs.
+func (r *Router) memberEpoch() int64 {
+	if members := r.members.Load(); members != nil {
+		return members.Epoch
+	}
+	return 0
+}
+
+func (r *Router) onMembers(content []byte) {
+	var members share.Members
+	if err := share.Decode(content, &members); err != nil {
+		r.log.Error("list of members cannot be read", zap.Error(err))
+		return
+	}
+	r.members.Store(&members)
+	r.limiter.SetMembers(members)
+}
+
 // Run serves until ctx ends, and then stops gracefully.
 func (r *Router) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp4", r.o.FrontListen)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -4,6 +4,7 @@
 package share
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -47,9 +48,24 @@
 	Count int `cbor:"2,keyasint"`
 }
 
+// Member is a VM that reports.
+type Member struct {
+	VM     string `cbor:"1,keyasint"`
+	Domain string `cbor:"2,keyasint"`
+	// Address is HOST:PORT at which other VMs reach it.
+	Address string `cbor:"3,keyasint"`
+}
+
+// Members are the VMs that report, by failure domain and name.
+type Members struct {
+	// Epoch identifies the list; it changes with it.
+	Epoch int64    `cbor:"1,keyasint"`
+	List  []Member `cbor:"2,keyasint"`
+}
+
 // Report is what one VM tells about its load.
 type Report struct {
-	Domain string `cbor:"1,keyasint"`
+	Member Member `cbor:"1,keyasint"`
 	// Demand is the number of requests per second by workspace, refused ones included.
 	Demand map[string]float32 `cbor:"2,keyasint,omitempty"`
 	// Keys are the requests of keyed services by key since the last report.
@@ -58,9 +74,12 @@
 
 // Allotment is the division of all rates among VMs.
 type Allotment struct {
-	VMs []string `cbor:"1,keyasint"`
-	// Shares are the shares of tight workspaces in the order of VMs. Every VM has an
-	// even share of the others.
+	// Epoch is that of the members that the shares are for.
+	Epoch int64 `cbor:"1,keyasint"`
+	// Count is the number of members.
+	Count int `cbor:"3,keyasint"`
+	// Shares are the shares of tight workspaces in the order of the members. Every VM
+	// has an even share of the others.
 	Shares map[string][]float32 `cbor:"2,keyasint,omitempty"`
 }
 
@@ -84,6 +103,7 @@
 // Allocator computes allotments from reports. It is not safe for concurrent use.
 type Allocator struct {
 	reports map[string]*received
+	members Members
 }
 
 type received struct {
@@ -91,30 +111,44 @@
 	at     time.Duration
 }
 
-// NewAllocator returns an allocator without reports.
-func NewAllocator() *Allocator { return &Allocator{reports: make(map[string]*received)} }
+// NewAllocator returns an allocator without reports. Its members have epochs from
+// the given one on, which must be later than those of earlier allocators.
+func NewAllocator(epoch int64) *Allocator {
+	return &Allocator{reports: make(map[string]*received), members: Members{Epoch: epoch}}
+}
 
 // Observe takes the newest report of a VM.
-func (a *Allocator) Observe(vm string, report Report, now time.Duration) {
-	a.reports[vm] = &received{report: report, at: now}
+func (a *Allocator) Observe(report Report, now time.Duration) {
+	a.reports[report.Member.VM] = &received{report: report, at: now}
 }
 
 // Forget drops the report of a VM that stopped.
 func (a *Allocator) Forget(vm string) { delete(a.reports, vm) }
 
-// Allot divides the rates of all workspaces among the VMs that report.
-func (a *Allocator) Allot(workspaces []fleet.Workspace, now time.Duration) Allotment {
-	allotment := Allotment{Shares: make(map[string][]float32)}
+// Members returns the VMs that report.
+func (a *Allocator) Members(now time.Duration) Members {
+	var list []Member
 	for vm, r := range a.reports {
 		if now-r.at > reportLife {
 			delete(a.reports, vm)
 			continue
 		}
-		allotment.VMs = append(allotment.VMs, vm)
+		list = append(list, r.report.Member)
+	}
+	slices.SortFunc(list, func(x, y Member) int {
+		return cmp.Or(cmp.Compare(x.Domain, y.Domain), cmp.Compare(x.VM, y.VM))
+	})
+	if !slices.Equal(list, a.members.List) {
+		a.members = Members{Epoch: a.members.Epoch + 1, List: list}
 	}
-	slices.Sort(allotment.VMs)
+	return a.members
+}
+
+// Allot divides the rates of all workspaces among the members.
+func (a *Allocator) Allot(workspaces []fleet.Workspace, members Members) Allotment {
+	allotment := Allotment{Epoch: members.Epoch, Count: len(members.List), Shares: make(map[string][]float32)}
 	for i := range workspaces {
-		if shares := a.divide(&workspaces[i], allotment.VMs); shares != nil {
+		if shares := a.divide(&workspaces[i], members.List); shares != nil {
 			allotment.Shares[workspaces[i].Name] = shares
 		}
 	}
@@ -122,23 +156,25 @@
 }
 
 // divide returns the shares of a tight workspace, or nil.
-func (a *Allocator) divide(w *fleet.Workspace, vms []string) []float32 {
-	if w.Rate <= 0 || len(vms) == 0 {
+func (a *Allocator) divide(w *fleet.Workspace, members []Member) []float32 {
+	if w.Rate <= 0 || len(members) == 0 {
 		return nil
 	}
+	demands := make([]float64, len(members))
 	total, most := 0.0, 0.0
-	for _, vm := range vms {
-		demand := float64(a.reports[vm].report.Demand[w.Name])
-		total += demand
-		most = max(most, demand)
+	for i, member := range members {
+		if r := a.reports[member.VM]; r != nil {
+			demands[i] = float64(r.report.Demand[w.Name])
+		}
+		total += demands[i]
+		most = max(most, demands[i])
 	}
-	even := 1 / float64(len(vms))
+	even := 1 / float64(len(members))
 	if total < tightDemand*w.Rate && most < tightDemand*w.Rate*even {
 		return nil
 	}
-	shares := make([]float32, len(vms))
-	for i, vm := range vms {
-		demand := float64(a.reports[vm].report.Demand[w.Name])
+	shares := make([]float32, len(members))
+	for i, demand := range demands {
 		shares[i] = float32(evenPart*even + (1-evenPart)*demand/total)
 	}
 	return shares
@@ -161,7 +197,8 @@
 
 	mu        sync.Mutex
 	allotment Allotment
-	index     int // of this VM in the allotment; -1 if it is not listed
+	members   Members
+	index     int // of this VM among the members; -1 if it is not listed
 	buckets   map[string]*bucket
 	demand    map[string]*meter
 }
@@ -194,7 +231,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.allotment = a
-	l.index = slices.Index(a.VMs, l.vm)
+}
+
+// SetMembers replaces the list of VMs.
+func (l *Limiter) SetMembers(m Members) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = m
+	l.index = slices.IndexFunc(m.List, func(member Member) bool { return member.VM == l.vm })
 }
 
 // VMs is the number of VMs in the newest allotment, or an assumed one.
@@ -205,16 +249,16 @@
 }
 
 func (l *Limiter) count() int {
-	if len(l.allotment.VMs) == 0 {
+	if l.allotment.Count == 0 {
 		return unknownVMs
 	}
-	return len(l.allotment.VMs)
+	return l.allotment.Count
 }
 
 // share returns this VM's share of a workspace's rate. The caller holds the lock.
 func (l *Limiter) share(workspace string) float64 {
 	even := 1 / float64(l.count())
-	if l.index < 0 {
+	if l.index < 0 || l.members.Epoch != l.allotment.Epoch {
 		return even * unlistedPart
 	}
 	if shares := l.allotment.Shares[workspace]; l.index < len(shares) {
