--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -84,6 +84,7 @@
 func (f *Forwarder) giveUp(fl *flight) *Answer {
 	reason := fl.event.Reason
 	if fl.last != nil {
+		fl.event.Reason = ""
 		return fl.last
 	}
 	switch {
@@ -162,7 +163,7 @@
 // backend server. It answers backend servers that are slow for a fraction of a
 // second, which reports show too late.
 func (f *Forwarder) hedgeDelay(fl *flight) (time.Duration, bool) {
-	if !fl.route.Idempotent || fl.service.Keyed || fl.runs+1 >= fl.route.MaxAttempts {
+	if !fl.route.Idempotent || fl.service.Keyed || fl.runs >= fl.route.MaxAttempts {
 		return 0, false
 	}
 	usual := f.usual(fl.route)
