--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -28,6 +28,9 @@
 	// epochStep is the distance of the epochs of two holders of the lease, more than
 	// the changes of one.
 	epochStep = 1 << 20
+	// coldCapacity is the capacity of a cold backend server relative to a warm one: it
+	// works half as fast and bears a limited rate.
+	coldCapacity = 0.4
 	// weightLife is the time constant of the load of keys.
 	weightLife = 3 * time.Second
 )
@@ -253,12 +256,17 @@
 			in.Servers[service.Name] = nil
 		}
 	}
+	now := c.r.clock.Now()
 	for id, b := range view.Backends {
 		if _, keyed := in.Servers[b.Service]; !keyed {
 			continue
 		}
+		capacity := float64(b.Slots)
+		if now < b.ColdUntil {
+			capacity *= coldCapacity
+		}
 		in.Servers[b.Service] = append(in.Servers[b.Service], keylease.Server{
-			ID: id, Address: b.Address, Started: b.Started, Usable: view.Usable(&b), Capacity: float64(b.Slots),
+			ID: id, Address: b.Address, Started: b.Started, Usable: view.Usable(&b), Capacity: capacity,
 		})
 	}
 	c.mu.Lock()
