--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,108 @@
+package decisionlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/forward"
+)
+
+// blocked is an output that never returns.
+type blocked struct{}
+
+func (blocked) Write([]byte) (int, error) { select {} }
+
+// TestBlockedOutput guards against a blocked standard output that stops requests.
+func TestBlockedOutput(t *testing.T) {
+	w := NewWriter(blocked{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * bufferedLines {
+			w.Write([]byte("line\n")) //nolint:errcheck // it never fails
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writing blocks")
+	}
+	if w.Dropped() < bufferedLines/2 {
+		t.Errorf("%d lines counted as dropped", w.Dropped())
+	}
+}
+
+func observe(t *testing.T) (*Requests, *clock.Fake, func() []map[string]any, map[string]int) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	fake := &clock.Fake{}
+	counts := map[string]int{}
+	r := NewRequests(NewLogger(w, zap.InfoLevel), fake, func(e *forward.Event, outcome string) { counts[e.Reason+"/"+outcome]++ })
+	return r, fake, func() []map[string]any {
+		w.Close()
+		var lines []map[string]any
+		for line := range strings.Lines(out.String()) {
+			var fields map[string]any
+			if err := json.Unmarshal([]byte(line), &fields); err != nil {
+				t.Fatal(err)
+			}
+			lines = append(lines, fields)
+		}
+		return lines
+	}, counts
+}
+
+// TestFlood guards against a flood of failures that floods the log, and against
+// suppressed lines that are not counted.
+func TestFlood(t *testing.T) {
+	is := is.New(t)
+	r, fake, read, counts := observe(t)
+	const floods = 10000
+	for i := range floods {
+		fake.Time = time.Duration(i) * time.Millisecond
+		r.Request(&forward.Event{ID: fmt.Sprint(i), Reason: "rate-exceeded", Status: 429})
+	}
+	fake.Time = 20 * time.Second
+	r.Request(&forward.Event{ID: "last", Reason: "other", Status: 503})
+	lines := read()
+	written, suppressed := 0, 0
+	for _, line := range lines {
+		if line["kind"] == "rate-exceeded" {
+			written++
+		}
+		if n, ok := line["rate-exceeded"].(float64); ok {
+			suppressed += int(n)
+		}
+	}
+	is.Equal(written, 10*linesPerSecond)
+	is.Equal(written+suppressed, floods)
+	is.Equal(counts["rate-exceeded/not-run"], floods)
+}
+
+// TestLines guards against refusals and unknown outcomes without a line, or with a
+// line that lacks what decided them.
+func TestLines(t *testing.T) {
+	is := is.New(t)
+	r, _, read, counts := observe(t)
+	r.Request(&forward.Event{ID: "a", Reason: "owner-no-backend", Status: 503, Key: 7, ConfigVersion: 3, Waited: time.Second})
+	r.Request(&forward.Event{ID: "b", Reason: "outcome-unknown", Status: 502, Key: forward.NoKey,
+		Attempts: []forward.AttemptEvent{{Backend: "i-1", Detail: "reset", Took: time.Millisecond, Busy: 2}}})
+	lines := read()
+	is.Equal(len(lines), 2)
+	is.Equal(lines[0]["outcome"], "not-run")
+	is.Equal(lines[0]["owner_wait_ms"], 1000.0)
+	is.Equal(lines[0]["config_version"], 3.0)
+	is.Equal(lines[1]["outcome"], "unknown")
+	attempt := lines[1]["attempts"].([]any)[0].(map[string]any)
+	is.Equal(attempt["backend"], "i-1")
+	is.Equal(attempt["detail"], "reset")
+	is.Equal(counts["outcome-unknown/unknown"], 1)
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,212 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/forward"
+)
+
+// handlerFunc adapts a function to Handler.
+type handlerFunc func(ctx context.Context, r *forward.Request) *forward.Answer
+
+func (f handlerFunc) Handle(ctx context.Context, r *forward.Request) *forward.Answer {
+	return f(ctx, r)
+}
+
+func echo(_ context.Context, r *forward.Request) *forward.Answer {
+	return &forward.Answer{Status: 200, Header: http.Header{"X-Id": r.Header["X-Id"]}, Body: append([]byte(r.Target+" "), r.Body...)}
+}
+
+func start(t *testing.T, h Handler) (*Server, net.Conn, *bufio.Reader) {
+	t.Helper()
+	s := &Server{
+		Handler: h, Clock: clock.System{}, Log: zap.NewNop(), MaxConnections: 10,
+		Limits: func() fleet.Limits {
+			return fleet.Limits{HeaderBytes: 2048, BodyBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+		},
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go s.Serve(listener) //nolint:errcheck // it ends with the listener
+	c, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return s, c, bufio.NewReader(c)
+}
+
+func get(id string) string {
+	return fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\n\r\n", id, id)
+}
+
+func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+// TestPipelinedOrder guards against answers that reach another request of the same
+// connection, and against requests that wait for those before them.
+func TestPipelinedOrder(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	_, c, r := start(t, handlerFunc(func(ctx context.Context, q *forward.Request) *forward.Answer {
+		switch q.Target {
+		case "/1":
+			<-second // runs beside the second request
+		case "/2":
+			close(second)
+		}
+		return echo(ctx, q)
+	}))
+	_, err := io.WriteString(c, get("1")+get("2")+get("3"))
+	is.NoErr(err)
+	for _, id := range []string{"1", "2", "3"} {
+		response, body := read(t, r)
+		is.Equal(response.Header.Get("X-Id"), id)
+		is.Equal(body, "/"+id+" ")
+	}
+}
+
+// TestBodies guards against bodies that are changed or taken for a request.
+func TestBodies(t *testing.T) {
+	is := is.New(t)
+	_, c, r := start(t, handlerFunc(echo))
+	_, err := io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"+
+		"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"+get("c"))
+	is.NoErr(err)
+	for _, want := range []string{"/a hello", "/b abcde", "/c "} {
+		_, body := read(t, r)
+		is.Equal(body, want)
+	}
+}
+
+// TestRejected guards against requests that are handled although they are malformed
+// or too large.
+func TestRejected(t *testing.T) {
+	for _, test := range []struct {
+		name, request string
+		status        int
+	}{
+		{"malformed", "nonsense\r\n\r\n", 400},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", 400},
+		{"tunnel", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 405},
+		{"large body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", 413},
+		{"large head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n", 431},
+		{"endless head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20000), 431},
+		{"slow head", "GET / HTTP/1.1\r\n", 408},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, c, r := start(t, handlerFunc(func(context.Context, *forward.Request) *forward.Answer {
+				t.Error("the request was handled")
+				return &forward.Answer{Status: 200}
+			}))
+			_, err := io.WriteString(c, test.request)
+			is.NoErr(err)
+			response, _ := read(t, r)
+			is.Equal(response.StatusCode, test.status)
+			is.True(response.Close)
+		})
+	}
+}
+
+// TestLeftCaller guards against work that goes on for a caller that has left, also
+// behind pipelined requests.
+func TestLeftCaller(t *testing.T) {
+	left := make(chan struct{}, 2)
+	_, c, _ := start(t, handlerFunc(func(ctx context.Context, q *forward.Request) *forward.Answer {
+		<-ctx.Done()
+		left <- struct{}{}
+		return echo(ctx, q)
+	}))
+	if _, err := io.WriteString(c, get("1")+get("2")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	c.Close()
+	for range 2 {
+		select {
+		case <-left:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the request goes on after its caller left")
+		}
+	}
+}
+
+// TestDrain guards against a planned stop that cuts a request, and against one that
+// keeps connections open.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s, c, r := start(t, handlerFunc(func(ctx context.Context, q *forward.Request) *forward.Answer {
+		if q.Target == "/2" {
+			<-release
+		}
+		return echo(ctx, q)
+	}))
+	_, err := io.WriteString(c, get("1"))
+	is.NoErr(err)
+	response, _ := read(t, r)
+	is.True(!response.Close)
+	_, err = io.WriteString(c, get("2"))
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	s.Drain()
+	s.CloseIdle() // leaves the connection, which has a request in progress
+	close(release)
+	response, body := read(t, r)
+	is.Equal(body, "/2 ")
+	is.True(response.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s.Wait(ctx)
+	is.NoErr(ctx.Err())
+}
+
+// FuzzConnection guards against input that stops the process.
+func FuzzConnection(f *testing.F) {
+	f.Add([]byte(get("1") + get("2")))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		client, server := net.Pipe()
+		s := &Server{
+			Handler: handlerFunc(echo), Clock: clock.System{}, Log: zap.NewNop(), MaxConnections: 1,
+			Limits: func() fleet.Limits {
+				return fleet.Limits{HeaderBytes: 500, BodyBytes: 100, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+			},
+		}
+		s.start(server)
+		go func() {
+			client.Write(input) //nolint:errcheck // the server may have closed the connection
+			time.Sleep(time.Millisecond)
+			client.Close()
+		}()
+		io.Copy(io.Discard, client) //nolint:errcheck // any end will do
+		s.active.Wait()
+	})
+}
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,116 @@
+package share
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fireflyfield/internal/fleet"
+)
+
+var tolerance = Tolerance{Window: 5 * time.Second, Factor: 0.1, Slack: 20}
+
+func report(vm string, demand float64) Report {
+	return Report{Member: Member{VM: vm, Domain: "d"}, Demand: map[string]float32{"w": float32(demand)}}
+}
+
+// TestSharesSumToOne guards against shares that together exceed the rate.
+func TestSharesSumToOne(t *testing.T) {
+	is := is.New(t)
+	a := NewAllocator(1)
+	for i := range 7 {
+		a.Observe(report(fmt.Sprint(i), float64(i*i)), 0)
+	}
+	members := a.Members(0)
+	is.Equal(len(members.List), 7)
+	allotment := a.Allot([]fleet.Workspace{{Name: "w", Rate: 50}, {Name: "idle", Rate: 50}, {Name: "free"}}, members)
+	sum := 0.0
+	for _, share := range allotment.Shares["w"] {
+		sum += float64(share)
+	}
+	is.True(sum < 1.0001)
+	is.True(sum > 0.9)
+	is.Equal(allotment.Shares["idle"], nil)
+	is.Equal(a.Members(time.Minute).List, nil)
+}
+
+// fleetOf simulates VMs that get the allotments with a delay, under a demand that
+// changes at random, and returns the requests that were let through by time.
+func fleetOf(seed uint64, vms int, w fleet.Workspace, demand func(now time.Duration, vm int) float64) (passed []time.Duration, refused, asked int) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	a := NewAllocator(1)
+	limiters := make([]*Limiter, vms)
+	for i := range limiters {
+		limiters[i] = NewLimiter(fmt.Sprint(i), tolerance)
+	}
+	const step = 10 * time.Millisecond
+	for now := time.Duration(0); now < 60*time.Second; now += step {
+		for i, l := range limiters {
+			for n := demand(now, i) * step.Seconds(); n > 0; n-- {
+				if random.Float64() >= n {
+					continue
+				}
+				asked++
+				if l.Take(&w, now).OK {
+					passed = append(passed, now)
+				} else {
+					refused++
+				}
+			}
+			if now%time.Second == time.Duration(i)*step%time.Second {
+				a.Observe(Report{Member: Member{VM: fmt.Sprint(i), Domain: "d"}, Demand: l.Demand(now)}, now)
+			}
+		}
+		if now%(800*time.Millisecond) == 0 {
+			members := a.Members(now)
+			allotment := a.Allot([]fleet.Workspace{w}, members)
+			for _, l := range limiters {
+				if random.Float64() < 0.9 { // some miss it
+					l.SetMembers(members)
+					l.SetAllotment(allotment)
+				}
+			}
+		}
+	}
+	return passed, refused, asked
+}
+
+// TestRateHolds guards against a workspace that gets more than its rate and burst
+// over all VMs together, when it sends many times its rate at changing VMs.
+func TestRateHolds(t *testing.T) {
+	w := fleet.Workspace{Name: "w", Rate: 40, Burst: 40}
+	for seed := range uint64(5) {
+		passed, _, _ := fleetOf(seed, 10, w, func(now time.Duration, vm int) float64 {
+			if int(now/(3*time.Second))%10 == vm {
+				return 200
+			}
+			return 8
+		})
+		bound := int((w.Rate*5+w.Burst)*1.1 + 20)
+		for first, last := 0, 0; last < len(passed); last++ {
+			for passed[last]-passed[first] > 5*time.Second {
+				first++
+			}
+			if n := last - first + 1; n > bound {
+				t.Fatalf("seed %d: %d requests in 5 s at %s, at most %d are allowed", seed, n, passed[last], bound)
+			}
+		}
+	}
+}
+
+// TestFewWrongfulRefusals guards against requests that are refused although the
+// workspace stays inside its rate, when its callers are spread unevenly.
+func TestFewWrongfulRefusals(t *testing.T) {
+	w := fleet.Workspace{Name: "w", Rate: 100, Burst: 100}
+	for seed := range uint64(5) {
+		_, refused, asked := fleetOf(seed, 10, w, func(now time.Duration, vm int) float64 {
+			return 62 * []float64{0.25, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05, 0.03, 0.02}[vm]
+		})
+		if refused*200 > asked {
+			t.Errorf("seed %d: %d of %d requests inside the rate were refused", seed, refused, asked)
+		}
+	}
+}
