--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,209 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/directory"
+	"fireflyfield/internal/peer"
+	"fireflyfield/internal/share"
+	"fireflyfield/internal/sharedlog"
+)
+
+// sink collects what a follower gets.
+type sink struct {
+	mu      sync.Mutex
+	records map[string]string
+	sent    time.Duration
+}
+
+func (s *sink) follower(log *zap.Logger) *directory.Follower {
+	s.records = make(map[string]string)
+	return &directory.Follower{
+		Topic: "t", Now: clock.System{}.Now, Log: log, Interval: 20 * time.Millisecond,
+		Apply: func(b sharedlog.Batch, info directory.BatchInfo) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if info.Whole {
+				clear(s.records)
+			}
+			for _, r := range b.Records {
+				s.records[r.Key] = string(r.Value)
+			}
+			s.sent = max(s.sent, info.Sent)
+		},
+	}
+}
+
+func (s *sink) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[key]
+}
+
+// countingLog is a log that counts its calls.
+type countingLog struct {
+	mu      sync.Mutex
+	records []sharedlog.Record
+	calls   int
+}
+
+func (l *countingLog) put(key, value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, sharedlog.Record{Key: key, Value: []byte(value), Offset: int64(len(l.records))})
+}
+
+func (l *countingLog) Append(context.Context, string, []sharedlog.Record, int64) (int64, error) {
+	return 0, nil
+}
+
+func (l *countingLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (sharedlog.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	next := int64(len(l.records))
+	return sharedlog.Batch{Records: append([]sharedlog.Record(nil), l.records[min(from, next):]...), Next: next, End: next}, nil
+}
+
+func (l *countingLog) Newest(ctx context.Context, topic string) (sharedlog.Batch, error) {
+	return l.Read(ctx, topic, 0, 0)
+}
+
+func (l *countingLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not within 10 s: " + what)
+		}
+	}
+}
+
+// TestRelay guards against a VM that reads the log although its relay works, that
+// misses records, or that is left without news when its relay is gone.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	rootLog, log := &countingLog{}, &countingLog{}
+	for i := range 3 {
+		rootLog.put(fmt.Sprint(i), "v")
+		log.put(fmt.Sprint(i), "v")
+	}
+
+	var rootSink, leafSink sink
+	cache := NewCache(clock.System{}.Now, nil)
+	root := rootSink.follower(zap.NewNop())
+	cache.Wrap(root)
+	go root.Run(ctx, rootLog)
+	reports := make(chan string, 10)
+	peers := peer.NewServer(peer.Identity{Version: peer.Version, VM: "root"}, "", zap.NewNop())
+	Serve(peers, cache, func(r [][]byte) { reports <- string(r[0]) })
+	server := httptest.NewServer(peers)
+	address := strings.TrimPrefix(server.URL, "http://")
+
+	leaf := leafSink.follower(zap.NewNop())
+	client := &Client{
+		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{leaf},
+		Address: func() string { return address }, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
+		Now: clock.System{}.Now, Log: zap.NewNop(),
+	}
+	client.Prepare()
+	go client.Run(ctx)
+	eventually(t, "the relay is in use", client.Active)
+	go leaf.Run(ctx, log)
+	is.Equal(<-reports, "load")
+	eventually(t, "the leaf has the first records", func() bool { return leafSink.get("2") == "v" })
+	rootLog.put("3", "news")
+	log.put("3", "news")
+	eventually(t, "the leaf has the news", func() bool { return leafSink.get("3") == "news" })
+	is.Equal(log.count(), 0)
+
+	peers.Close()
+	server.CloseClientConnections()
+	server.Close()
+	log.put("4", "direct")
+	eventually(t, "the leaf reads the log itself", func() bool { return leafSink.get("4") == "direct" })
+	is.True(!client.Active())
+}
+
+// TestStaleRelay guards against a relay that lost the log and passes old knowledge
+// on as new.
+func TestStaleRelay(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	cache := NewCache(fake.Now, nil)
+	cache.put("t", sharedlog.Batch{Next: 5}, directory.BatchInfo{Whole: true, Sent: fake.Time})
+	reply, _ := cache.read("t", 5)
+	is.True(reply.AgeMs <= 1)
+	fake.Time += 3 * time.Second
+	cache.put("t", sharedlog.Batch{Next: 5}, directory.BatchInfo{Sent: fake.Time - time.Hour, Failed: fake.Time})
+	reply, _ = cache.read("t", 5)
+	is.True(reply.AgeMs >= 3000)
+	is.Equal(reply.FailedMs, int64(0))
+}
+
+// TestRepeats guards against heartbeats that go to every VM, and against changes
+// that are taken for heartbeats.
+func TestRepeats(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	cache := NewCache(fake.Now, map[string]func(a, b sharedlog.Record) bool{
+		"t": func(a, b sharedlog.Record) bool { return string(a.Value) == string(b.Value) },
+	})
+	cache.put("t", sharedlog.Batch{Next: 1, Records: []sharedlog.Record{{Key: "a", Value: []byte("1")}}}, directory.BatchInfo{Whole: true})
+	cache.put("t", sharedlog.Batch{Next: 2, Records: []sharedlog.Record{{Key: "a", Offset: 1, Value: []byte("1")}}}, directory.BatchInfo{})
+	reply, news := cache.read("t", 1)
+	is.True(!news)
+	is.Equal(reply.Next, int64(2))
+	cache.put("t", sharedlog.Batch{Next: 3, Records: []sharedlog.Record{{Key: "a", Offset: 2}}}, directory.BatchInfo{})
+	reply, news = cache.read("t", 2)
+	is.True(news)
+	is.Equal(len(reply.Records), 1)
+	reply, _ = cache.read("t", -1)
+	is.True(reply.Whole)
+	is.Equal(len(reply.Records), 0)
+}
+
+// TestParent guards against VMs that poll each other in a circle, or all the same one.
+func TestParent(t *testing.T) {
+	is := is.New(t)
+	var members []share.Member
+	for i := range 40 {
+		domain := fmt.Sprint("d", i%4)
+		members = append(members, share.Member{VM: fmt.Sprint(i), Domain: domain, Address: fmt.Sprint("a", i)})
+	}
+	children := map[string]int{}
+	parents := map[string]string{}
+	for _, m := range members[1:] {
+		parent := Parent(members, m.VM, m.Domain, "a0")
+		children[parent]++
+		parents[m.Address] = parent
+	}
+	for address := range parents {
+		steps := 0
+		for at := address; at != "a0"; at = parents[at] {
+			steps++
+			is.True(steps < 10)
+		}
+	}
+	for parent, n := range children {
+		is.True(n <= fanOut || parent == "a0" && n == 4)
+	}
+	is.Equal(Parent(members, "unlisted", "d1", "a0"), "a0")
+}
