--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -19,6 +19,7 @@
 		&validateCommand{},
 		&serveCommand{},
 		&routeCommand{},
+		&soakCommand{},
 		&devCommand{},
 		&standinCommand{},
 		&reportCommand{},
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,209 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"fireflyfield/platform/platformtest"
+)
+
+// vm is one VM as a separate process, behind proxies towards its callers and the log.
+type vm struct {
+	soak     *Soak
+	name     string
+	settings string
+	ready    string
+	front    *Proxy
+	log      *Proxy
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	done    chan struct{}
+}
+
+func freePort() (int, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// freePair returns a port whose successor is free too.
+func freePair() (int, error) {
+	for range 50 {
+		port, err := freePort()
+		if err != nil {
+			return 0, err
+		}
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
+		if err != nil {
+			continue
+		}
+		l.Close() //nolint:errcheck // the port was only tried
+		return port, nil
+	}
+	return 0, errors.New("no two adjacent ports are free")
+}
+
+func newVM(s *Soak, number int) (*vm, error) {
+	v := &vm{soak: s, name: fmt.Sprintf("vm-%d", number)}
+	frontPort, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	readyPort, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	inner, err := freePair()
+	if err != nil {
+		return nil, err
+	}
+	front := fmt.Sprintf("127.0.0.1:%d", frontPort)
+	v.ready = fmt.Sprintf("127.0.0.1:%d", readyPort)
+	if v.front, err = NewProxy(front); err != nil {
+		return nil, err
+	}
+	if v.log, err = NewProxy(s.address); err != nil {
+		return nil, err
+	}
+	v.settings = filepath.Join(s.o.Dir, v.name+".conf")
+	content := platformtest.Settings(v.name, zones[number%len(zones)], v.log.Address(), front, v.ready, inner)
+	if err := os.WriteFile(v.settings, []byte(content), 0o600); err != nil {
+		return nil, err
+	}
+	return v, v.run()
+}
+
+// address is where clients reach the VM.
+func (v *vm) address() string { return v.front.Address() }
+
+func (v *vm) run() error {
+	out, err := v.soak.logFile(v.name)
+	if err != nil {
+		return err
+	}
+	process := exec.Command(v.soak.o.Binary, "route", "-settings", v.settings)
+	process.Stdout, process.Stderr = out, out
+	if err := process.Start(); err != nil {
+		return errors.Wrap(err, v.name)
+	}
+	done := make(chan struct{})
+	v.mu.Lock()
+	v.process, v.done = process, done
+	v.mu.Unlock()
+	go func() {
+		process.Wait() //nolint:errcheck // most processes are killed
+		out.Close()    //nolint:errcheck // the process wrote the file
+		close(done)
+	}()
+	return nil
+}
+
+func (v *vm) signal(signal syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process != nil {
+		v.process.Process.Signal(signal) //nolint:errcheck // the process may have ended
+	}
+}
+
+// restart ends the process with a signal and starts it again.
+func (v *vm) restart(signal syscall.Signal, wait time.Duration) {
+	v.signal(signal)
+	v.mu.Lock()
+	done := v.done
+	v.mu.Unlock()
+	<-done
+	time.Sleep(wait)
+	if err := v.run(); err != nil {
+		v.soak.note("%s was not started: %v", v.name, err)
+	}
+}
+
+// end kills the process for good.
+func (v *vm) end() {
+	v.signal(syscall.SIGCONT)
+	v.signal(syscall.SIGKILL)
+	v.mu.Lock()
+	done := v.done
+	v.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+	v.front.Close()
+	v.log.Close()
+}
+
+// worker is one backend server behind a proxy.
+type worker struct {
+	soak          *Soak
+	service, zone string
+
+	mu      sync.Mutex
+	running *platformtest.Running
+	proxy   *Proxy
+	alive   bool
+}
+
+func (w *worker) start(id string) error {
+	n := &platformtest.Worker{ID: id, Sharded: w.service == "keyed", Slots: 4, Work: 10 * time.Millisecond}
+	n.OnRun = func(run platformtest.Run) { w.soak.ran(w, run) }
+	n.Exempt = func() bool {
+		return time.Since(time.Unix(0, w.soak.thawed.Load())) < thawSlack
+	}
+	var proxy *Proxy
+	running, err := platformtest.StartBehind(w.soak.store, n, w.service, w.zone, func(address string) (string, error) {
+		var err error
+		if proxy, err = NewProxy(address); err != nil {
+			return "", err
+		}
+		return proxy.Address(), nil
+	})
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running, w.proxy, w.alive = running, proxy, true
+	return nil
+}
+
+func (w *worker) current() *platformtest.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running.Worker
+}
+
+func (w *worker) link() *Proxy {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.proxy
+}
+
+func (w *worker) up() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.alive
+}
+
+// crash ends the worker.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.alive {
+		w.alive = false
+		w.running.Crash()
+		w.proxy.Close()
+	}
+}
