--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
@@ -85,9 +87,31 @@
 	if err != nil {
 		return fail(streams, err)
 	}
+	go c.reload(ctx, r, logger)
 	if err := r.Run(ctx); err != nil {
 		logger.Error("the VM failed", zap.Error(err))
 		return fail(streams, err)
 	}
 	return subcommands.ExitSuccess
 }
+
+// reload reads the settings again at each SIGHUP. A file that cannot be used leaves
+// the settings as they are.
+func (c *routeCommand) reload(ctx context.Context, r *router.Router, logger *zap.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		settings, err := platform.ReadSettings(c.settings)
+		if err != nil {
+			logger.Error("settings were not reloaded", zap.Error(err))
+			continue
+		}
+		r.Reload(platform.RouterOptions(settings, "", logger))
+	}
+}
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// SetCold replaces the bounds of cold backend servers.
+func (s *Servers) SetCold(cold ColdLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cold = cold
+}
+
 // sync takes a new view. The caller holds the lock.
 func (s *Servers) sync(view *directory.View) {
 	if view == s.view {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,11 +103,13 @@
 	stopping  atomic.Bool
 	holds     atomic.Bool
 	members   atomic.Pointer[share.Members]
+	grace     atomic.Int64 // time between the signal to stop and the end, in ns
 }
 
 // New returns a VM that is not started.
 func New(o Options) (*Router, error) {
 	r := &Router{o: o, clock: clock.System{}, log: o.Logger}
+	r.grace.Store(int64(o.Grace))
 	r.directory = directory.New(r.clock, r.log, o.Sources)
 	r.table = keylease.NewTable(r.log)
 	r.limiter = share.NewLimiter(o.VM, o.QuotaTolerance)
@@ -226,6 +228,17 @@
 	return nil
 }
 
+// Reload applies settings that may change while the VM runs: the grace time, the
+// tolerance of rates and the bounds of cold backend servers. Others need a restart.
+func (r *Router) Reload(o Options) {
+	r.grace.Store(int64(o.Grace))
+	r.limiter.SetTolerance(o.QuotaTolerance)
+	r.servers.SetCold(o.Cold)
+	r.log.Info("settings reloaded", zap.Duration("grace", o.Grace), zap.Float64("quota_slack", o.QuotaTolerance.Slack),
+		zap.Float64("cold_slack", o.Cold.Slack),
+		zap.Bool("needs_restart", o.FrontListen != r.o.FrontListen || o.ReadyListen != r.o.ReadyListen || o.RevokeWithin != r.o.RevokeWithin))
+}
+
 // stop drains the VM: it says that it is not ready, gives the lease back, ends
 // connections behind their responses, and closes idle ones once no new ones come.
 func (r *Router) stop(callers net.Listener) {
@@ -234,10 +247,11 @@
 	r.front.Drain()
 	r.lessor.Stop()
 	r.collector.leave()
-	time.Sleep(min(leaveDelay, r.o.Grace/2))
+	grace := time.Duration(r.grace.Load())
+	time.Sleep(min(leaveDelay, grace/2))
 	callers.Close() //nolint:errcheck // no connection is expected any more
 	r.front.CloseIdle()
-	ctx, cancel := context.WithTimeout(context.Background(), r.o.Grace-min(leaveDelay, r.o.Grace/2)-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-min(leaveDelay, grace/2)-stopMargin)
 	defer cancel()
 	r.front.Wait(ctx)
 	r.log.Info("stopped", zap.Int("connections", r.front.Open()))
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -226,6 +226,13 @@
 	return &Limiter{vm: vm, tolerance: tolerance, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter)}
 }
 
+// SetTolerance replaces the tolerance.
+func (l *Limiter) SetTolerance(t Tolerance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tolerance = t
+}
+
 // SetAllotment replaces the shares.
 func (l *Limiter) SetAllotment(a Allotment) {
 	l.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,6 +49,10 @@
 		}
 		return nil
 	}},
+	{"VM told to reload its settings", func(s *Soak, _ time.Duration) func() {
+		s.anyVM().signal(syscall.SIGHUP)
+		return nil
+	}},
 	{"VM cut off from the log", func(s *Soak, _ time.Duration) func() { return s.spoil(s.anyVM().log) }},
 	{"callers cut off from a VM", func(s *Soak, _ time.Duration) func() { return s.spoil(s.anyVM().front) }},
 	{"backend server cut off", func(s *Soak, _ time.Duration) func() { return s.spoil(s.anyWorker().link()) }},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -88,11 +88,7 @@
 
 // Run plays one soak.
 func Run(ctx context.Context, o Options) (Result, error) {
-	s := &Soak{
-		o: o, random: rand.New(rand.NewPCG(o.Seed, 77)), store: platformtest.NewStore(),
-		runs: make(map[string]int), sent: make(map[string]platformtest.Request), promised: make(map[string]int),
-		withdrawn: make(map[string]time.Time), tally: make(map[string]int), started: time.Now(),
-	}
+	s := newSoak(o)
 	defer s.stop()
 	if err := s.start(); err != nil {
 		return Result{}, err
@@ -114,6 +110,14 @@
 	return Result{Violations: s.violations, Tally: s.tally, Events: s.events}, ctx.Err()
 }
 
+func newSoak(o Options) *Soak {
+	return &Soak{
+		o: o, random: rand.New(rand.NewPCG(o.Seed, 77)), store: platformtest.NewStore(),
+		runs: make(map[string]int), sent: make(map[string]platformtest.Request), promised: make(map[string]int),
+		withdrawn: make(map[string]time.Time), tally: make(map[string]int), started: time.Now(),
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
