--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -20,6 +20,7 @@
 		&serveCommand{},
 		&routeCommand{},
 		&soakCommand{},
+		&explainCommand{},
 		&devCommand{},
 		&standinCommand{},
 		&reportCommand{},
--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -51,13 +51,16 @@
 
 // SetFlags implements subcommands.Command.
 func (c *routeCommand) SetFlags(fs *flag.FlagSet) {
-	fs.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "settings file of the platform; the default is in "+platform.SettingsVariable)
+	fs.StringVar(&c.settings, "settings", "", "settings file of the platform; if empty, "+platform.SettingsVariable+" names it")
 	fs.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
 }
 
 // Check implements Checker.
 func (c *routeCommand) Check(fs *flag.FlagSet) []string {
 	faults := extraArguments(fs)
+	if c.settings == "" {
+		c.settings = os.Getenv(platform.SettingsVariable)
+	}
 	if c.settings == "" {
 		faults = append(faults, "-settings: a file is needed")
 	}
--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -38,7 +38,7 @@
 
 // SetFlags implements subcommands.Command.
 func (c *soakCommand) SetFlags(fs *flag.FlagSet) {
-	fs.Uint64Var(&c.options.Seed, "seed", uint64(time.Now().UnixNano()), "seed of the first run; the default is fresh")
+	fs.Uint64Var(&c.options.Seed, "seed", 0, "seed of the first run; 0 takes a fresh one")
 	fs.IntVar(&c.seeds, "seeds", 1, "number of runs, with consecutive seeds")
 	fs.DurationVar(&c.options.Duration, "duration", 20*time.Second, "time in which faults are injected")
 	fs.IntVar(&c.options.VMs, "vms", 4, "number of VMs")
@@ -65,6 +65,9 @@
 	}
 	c.options.Binary = binary
 	parent := c.options.Dir
+	if c.options.Seed == 0 {
+		c.options.Seed = uint64(time.Now().UnixNano())
+	}
 	status := subcommands.ExitSuccess
 	for range c.seeds {
 		if c.options.Dir, err = os.MkdirTemp(parent, fmt.Sprintf("soak-%d-", c.options.Seed)); err != nil {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -54,7 +54,7 @@
 // list, since alerts are written against the names.
 func TestNamesAreThoseOfThePage(t *testing.T) {
 	is := is.New(t)
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	served := names(scrape(everything(t)), `(?m)^# TYPE (fireflyfield_\w+)`)
 	is.True(len(served) > 20)
