Give a VM's burst by its share, keep members at a takeover, share load reports

Cause: on the grown sites 429 went to every workspace inside its rate: 74 VMs had a burst of 1.5 requests each, while eight of them had all callers of a small workspace.

--- a/internal/forward/backend.go
+++ b/internal/forward/backend.go
@@ -47,6 +47,7 @@
 	coldUntil    time.Duration
 	suspectAt    time.Duration
 	suspectUntil time.Duration
+	unshared     bool          // the last report was not passed on to other VMs
 	nextCold     time.Duration // earliest time of the next request while cold
 	local        bool
 }
@@ -70,6 +71,7 @@
 	b.othersMean += othersGain * (others - b.othersMean)
 	b.slowness = load.Slowness
 	b.reportAt = now
+	b.unshared = true
 }
 
 // shed notes that the backend server had no room.
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -10,6 +10,7 @@
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/loadshare"
 	"fireflyfield/internal/upstream"
 )
 
@@ -29,6 +30,11 @@
 	coldScattered = 0.5
 	// coldWindow is the window of that bound.
 	coldWindow = time.Second
+	// sampleAbove is the number of backend servers of a service above which a choice is
+	// among sampleLocal random ones of the failure domain and sampleOther of all.
+	sampleAbove = 24
+	sampleLocal = 6
+	sampleOther = 2
 	// suspectTime is how long after a refused connection an entry must arrive to tell
 	// that the backend server is warm: an older entry may be from before its restart.
 	suspectTime = time.Second
@@ -50,6 +56,7 @@
 	random    *rand.Rand
 	byID      map[string]*backend
 	byService map[string][]*backend
+	localOf   map[string][]*backend // those of byService in this failure domain
 	view      *directory.View
 }
 
@@ -58,7 +65,7 @@
 func NewServers(c clock.Clock, domain string, cold ColdLimits, responder upstream.Responder, random *rand.Rand, vms func() int) *Servers {
 	return &Servers{
 		clock: c, domain: domain, cold: cold, responder: responder, random: random, vms: vms,
-		byID: make(map[string]*backend), byService: make(map[string][]*backend),
+		byID: make(map[string]*backend), byService: make(map[string][]*backend), localOf: make(map[string][]*backend),
 	}
 }
 
@@ -84,6 +91,7 @@
 		}
 	}
 	clear(s.byService)
+	clear(s.localOf)
 	for id, listed := range view.Backends {
 		known := s.byID[id]
 		if known == nil {
@@ -104,6 +112,9 @@
 		known.Backend = listed
 		if view.Usable(&listed) {
 			s.byService[listed.Service] = append(s.byService[listed.Service], known)
+			if known.local {
+				s.localOf[listed.Service] = append(s.localOf[listed.Service], known)
+			}
 		}
 	}
 	for _, list := range s.byService {
@@ -151,7 +162,7 @@
 	lowest := 0.0
 	connections := s.connections(service)
 	reason := pickNoServer
-	for _, b := range s.byService[service.Name] {
+	for _, b := range s.candidates(service.Name, paused) {
 		if slices.Contains(tried, b.ID) || !paused && now < b.pausedUntil {
 			continue
 		}
@@ -175,6 +186,26 @@
 	return best, reason
 }
 
+// candidates returns the backend servers to choose from. Of many, it returns some at
+// random: if all VMs took the least busy one by the same reports, they would crowd it.
+func (s *Servers) candidates(service string, all bool) []*backend {
+	list := s.byService[service]
+	if all || len(list) <= sampleAbove {
+		return list
+	}
+	local := s.localOf[service]
+	sample := make([]*backend, 0, sampleLocal+sampleOther)
+	for range sampleLocal {
+		if len(local) > 0 {
+			sample = append(sample, local[s.random.IntN(len(local))])
+		}
+	}
+	for range sampleOther {
+		sample = append(sample, list[s.random.IntN(len(list))])
+	}
+	return sample
+}
+
 // count notes a request that is about to be sent.
 func (s *Servers) count(b *backend, service *fleet.Service, now time.Duration) {
 	b.own++
@@ -250,6 +281,41 @@
 	})
 }
 
+// CollectReports returns the load reports of backend servers of this failure domain
+// that are new since the last call, at most max.
+func (s *Servers) CollectReports(max int) []loadshare.Report {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var reports []loadshare.Report
+	for _, b := range s.byID {
+		if !b.unshared || !b.local || len(reports) >= max {
+			continue
+		}
+		b.unshared = false
+		reports = append(reports, loadshare.Report{
+			Backend: b.ID, Busy: int(b.others) + b.own, Slowness: int(100 * b.slowness), AgeMs: (now - b.reportAt).Milliseconds(),
+		})
+	}
+	return reports
+}
+
+// ApplyReports takes load reports of another VM that are newer than what is known.
+func (s *Servers) ApplyReports(reports []loadshare.Report) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range reports {
+		b := s.byID[r.Backend]
+		at := now - time.Duration(r.AgeMs)*time.Millisecond
+		if b == nil || r.Busy < 0 || r.Slowness <= 0 || at <= b.reportAt {
+			continue
+		}
+		b.report(Load{Running: r.Busy, Slots: b.Slots, Slowness: float64(r.Slowness) / 100}, at)
+		b.unshared = false
+	}
+}
+
 // update runs a change of one backend server's state under the lock.
 func (s *Servers) update(change func(now time.Duration)) {
 	now := s.clock.Now()
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -25,9 +25,6 @@
 	reportRead = 900 * time.Millisecond
 	// maxPassing bounds the reports that are kept to be passed on.
 	maxPassing = 512
-	// epochStep is the distance of the epochs of two holders of the lease, more than
-	// the changes of one.
-	epochStep = 1 << 20
 	// coldCapacity is the capacity of a cold backend server relative to a warm one: it
 	// works half as fast and bears a limited rate.
 	coldCapacity = 0.4
@@ -50,7 +47,7 @@
 }
 
 func newCollector(r *Router) *collector {
-	return &collector{r: r, allocator: share.NewAllocator(0), weights: make(map[string]*keyrange.Weight)}
+	return &collector{r: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight)}
 }
 
 // run sends reports until ctx ends. While a relay is in use they travel with its polls.
@@ -174,7 +171,11 @@
 	if !held {
 		return
 	}
-	c.allocator = share.NewAllocator(c.r.memberEpoch() + epochStep)
+	c.allocator = share.NewAllocator()
+	members, allotment := c.r.limiter.Known()
+	if view := c.r.directory.View(); view != nil {
+		c.allocator.Seed(members, allotment, view.Config.Workspaces, c.r.clock.Now())
+	}
 	clear(c.weights)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	"fireflyfield/internal/forward"
 	"fireflyfield/internal/front"
 	"fireflyfield/internal/keylease"
+	"fireflyfield/internal/loadshare"
 	"fireflyfield/internal/metrics"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/relay"
@@ -43,6 +45,7 @@
 	ReadyPath     string
 	MetricsListen string
 	PeerListen    string // HOST:PORT at which other VMs reach this one
+	LoadListen    string // HOST:PORT, UDP, for load reports; the port after that of PeerListen
 
 	Log         sharedlog.Log
 	Sources     directory.Sources
@@ -173,14 +176,6 @@
 	return current.Address
 }
 
-// memberEpoch is the epoch of the newest list of VMs.
-func (r *Router) memberEpoch() int64 {
-	if members := r.members.Load(); members != nil {
-		return members.Epoch
-	}
-	return 0
-}
-
 func (r *Router) onMembers(content []byte) {
 	var members share.Members
 	if err := share.Decode(content, &members); err != nil {
@@ -213,6 +208,10 @@
 		go f.Run(background, r.o.Log)
 	}
 	go r.relay.Run(background)
+	exchange := &loadshare.Exchange{Peers: r.loadPeers, Collect: r.servers.CollectReports, Apply: r.servers.ApplyReports, Log: r.log}
+	if err := exchange.Run(background, r.o.LoadListen); err != nil {
+		return err
+	}
 	go r.lessor.Run(background)
 	go r.collector.run(background)
 	go r.sweep(background)
@@ -239,6 +238,23 @@
 		zap.Bool("needs_restart", o.FrontListen != r.o.FrontListen || o.ReadyListen != r.o.ReadyListen || o.RevokeWithin != r.o.RevokeWithin))
 }
 
+// loadPeers returns where the other VMs of the failure domain take load reports.
+func (r *Router) loadPeers() []netip.AddrPort {
+	members := r.members.Load()
+	if members == nil {
+		return nil
+	}
+	var peers []netip.AddrPort
+	for _, m := range members.List {
+		address, err := netip.ParseAddrPort(m.Address)
+		if err != nil || m.Domain != r.o.Domain || m.VM == r.o.VM {
+			continue
+		}
+		peers = append(peers, netip.AddrPortFrom(address.Addr(), address.Port()+1))
+	}
+	return peers
+}
+
 // stop drains the VM: it says that it is not ready, gives the lease back, ends
 // connections behind their responses, and closes idle ones once no new ones come.
 func (r *Router) stop(callers net.Listener) {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -25,7 +25,7 @@
 	tightDemand = 0.5
 	// evenPart is the part of a tight workspace's rate that is divided evenly, so that
 	// a VM whose demand just starts is not left without.
-	evenPart = 0.15
+	evenPart = 0.08
 	// unlistedPart is the share of a VM that the newest allotment does not list,
 	// relative to an even share.
 	unlistedPart = 0.3
@@ -35,11 +35,14 @@
 	// is for shares that change while they are under way.
 	toleranceUsed = 0.6
 	// minBurst is the least burst of a VM's share, in requests.
-	minBurst = 1.5
+	minBurst = 1
+	// callersAt is the number of VMs at which a small workspace of a large fleet has
+	// callers: a VM's burst is at least that part of the whole, whatever its share.
+	callersAt = 10
 	// maxRetryAfter bounds the time after which a refused caller may come back.
 	maxRetryAfter = 2 * time.Second
 	// demandLife is the time constant of the demand that a VM reports.
-	demandLife = 2 * time.Second
+	demandLife = 4 * time.Second
 )
 
 // KeyCount is a number of requests for one key since the last report.
@@ -111,10 +114,22 @@
 	at     time.Duration
 }
 
-// NewAllocator returns an allocator without reports. Its members have epochs from
-// the given one on, which must be later than those of earlier allocators.
-func NewAllocator(epoch int64) *Allocator {
-	return &Allocator{reports: make(map[string]*received), members: Members{Epoch: epoch}}
+// NewAllocator returns an allocator without reports.
+func NewAllocator() *Allocator { return &Allocator{reports: make(map[string]*received)} }
+
+// Seed takes over the members and shares of an earlier allocator, until the VMs
+// report. Without it, the first reports would look like the whole fleet.
+func (a *Allocator) Seed(members Members, allotment Allotment, workspaces []fleet.Workspace, now time.Duration) {
+	a.members = members
+	for i, member := range members.List {
+		demand := make(map[string]float32)
+		for _, w := range workspaces {
+			if shares := allotment.Shares[w.Name]; allotment.Epoch == members.Epoch && i < len(shares) {
+				demand[w.Name] = shares[i] * float32(w.Rate)
+			}
+		}
+		a.Observe(Report{Member: member, Demand: demand}, now)
+	}
 }
 
 // Observe takes the newest report of a VM.
@@ -240,6 +255,13 @@
 	l.allotment = a
 }
 
+// Known returns the newest members and allotment.
+func (l *Limiter) Known() (Members, Allotment) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.members, l.allotment
+}
+
 // SetMembers replaces the list of VMs.
 func (l *Limiter) SetMembers(m Members) {
 	l.mu.Lock()
@@ -321,7 +343,7 @@
 	share := l.share(w.Name)
 	extra := l.tolerance.Factor*(w.Rate*l.tolerance.Window.Seconds()+w.Burst) + l.tolerance.Slack
 	extra *= toleranceUsed
-	return w.Rate * share, max(minBurst, w.Burst*share+extra/float64(l.count()))
+	return w.Rate * share, max(minBurst, (w.Burst+extra)*max(share, 1/float64(min(l.count(), callersAt))))
 }
 
 // Return gives back a request that did not run.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -20,7 +20,7 @@
 // TestSharesSumToOne guards against shares that together exceed the rate.
 func TestSharesSumToOne(t *testing.T) {
 	is := is.New(t)
-	a := NewAllocator(1)
+	a := NewAllocator()
 	for i := range 7 {
 		a.Observe(report(fmt.Sprint(i), float64(i*i)), 0)
 	}
@@ -37,11 +37,54 @@
 	is.Equal(a.Members(time.Minute).List, nil)
 }
 
+// TestTakeover guards against a new allocator that takes the first reports for the
+// whole fleet: limits that VMs share would be exceeded.
+func TestTakeover(t *testing.T) {
+	is := is.New(t)
+	workspaces := []fleet.Workspace{{Name: "w", Rate: 50}}
+	old := NewAllocator()
+	for i := range 10 {
+		old.Observe(report(fmt.Sprint(i), float64(i)), 0)
+	}
+	members := old.Members(0)
+	allotment := old.Allot(workspaces, members)
+	next := NewAllocator()
+	next.Seed(members, allotment, workspaces, time.Second)
+	next.Observe(report("3", 3), 2*time.Second)
+	after := next.Members(2 * time.Second)
+	is.Equal(after, members)
+	shares := next.Allot(workspaces, after).Shares["w"]
+	for i, share := range shares {
+		is.True(share > 0.7*allotment.Shares["w"][i])
+	}
+	// VMs that never report are dropped, under a new epoch.
+	last := next.Members(6500 * time.Millisecond)
+	is.Equal(len(last.List), 1)
+	is.True(last.Epoch > members.Epoch)
+}
+
+// TestManyVMs guards against small workspaces of a large fleet that are refused
+// inside their rate: a few VMs have all of their callers.
+func TestManyVMs(t *testing.T) {
+	w := fleet.Workspace{Name: "w", Rate: 20, Burst: 20}
+	for seed := range uint64(3) {
+		_, refused, asked := fleetOf(seed, 74, w, func(now time.Duration, vm int) float64 {
+			if vm%9 == 0 {
+				return 12.5 / 9
+			}
+			return 0
+		})
+		if refused*50 > asked {
+			t.Errorf("seed %d: %d of %d requests inside the rate were refused", seed, refused, asked)
+		}
+	}
+}
+
 // fleetOf simulates VMs that get the allotments with a delay, under a demand that
 // changes at random, and returns the requests that were let through by time.
 func fleetOf(seed uint64, vms int, w fleet.Workspace, demand func(now time.Duration, vm int) float64) (passed []time.Duration, refused, asked int) {
 	random := rand.New(rand.NewPCG(seed, 2))
-	a := NewAllocator(1)
+	a := NewAllocator()
 	limiters := make([]*Limiter, vms)
 	for i := range limiters {
 		limiters[i] = NewLimiter(fmt.Sprint(i), tolerance)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -29,48 +30,45 @@
 	done    chan struct{}
 }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+const (
+	// firstPort and ports are the range of the VMs' ports. It lies below the range from
+	// which the kernel takes ports: a VM that is down must find its ports free again.
+	firstPort, ports = 15000, 16000
+	// portsOfVM is the number of adjacent ports of one VM: callers, readiness, metrics,
+	// other VMs, load reports.
+	portsOfVM = 5
+)
+
+// freePorts returns the first of portsOfVM adjacent free ports.
+func freePorts() (int, error) {
+	for range 200 {
+		first := firstPort + rand.IntN(ports/portsOfVM)*portsOfVM
+		if portsFree(first) {
+			return first, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("no adjacent ports are free")
 }
 
-// freePair returns a port whose successor is free too.
-func freePair() (int, error) {
-	for range 50 {
-		port, err := freePort()
-		if err != nil {
-			return 0, err
-		}
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
+func portsFree(first int) bool {
+	for port := first; port < first+portsOfVM; port++ {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			continue
+			return false
 		}
 		l.Close() //nolint:errcheck // the port was only tried
-		return port, nil
 	}
-	return 0, errors.New("no two adjacent ports are free")
+	return true
 }
 
 func newVM(s *Soak, number int) (*vm, error) {
 	v := &vm{soak: s, name: fmt.Sprintf("vm-%d", number)}
-	frontPort, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	readyPort, err := freePort()
-	if err != nil {
-		return nil, err
-	}
-	inner, err := freePair()
+	first, err := freePorts()
 	if err != nil {
 		return nil, err
 	}
-	front := fmt.Sprintf("127.0.0.1:%d", frontPort)
-	v.ready = fmt.Sprintf("127.0.0.1:%d", readyPort)
+	front := fmt.Sprintf("127.0.0.1:%d", first)
+	v.ready = fmt.Sprintf("127.0.0.1:%d", first+1)
 	if v.front, err = NewProxy(front); err != nil {
 		return nil, err
 	}
@@ -78,7 +76,7 @@
 		return nil, err
 	}
 	v.settings = filepath.Join(s.o.Dir, v.name+".conf")
-	content := platformtest.Settings(v.name, zones[number%len(zones)], v.log.Address(), front, v.ready, inner)
+	content := platformtest.Settings(v.name, zones[number%len(zones)], v.log.Address(), front, v.ready, first+2)
 	if err := os.WriteFile(v.settings, []byte(content), 0o600); err != nil {
 		return nil, err
 	}
