--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"fireflyfield/internal/decisionlog"
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/router"
 	"fireflyfield/platform"
 )
@@ -92,7 +93,7 @@
 	}
 	go c.reload(ctx, r, logger)
 	if err := r.Run(ctx); err != nil {
-		logger.Error("the VM failed", zap.Error(err))
+		logger.Error("the VM failed", logfield.Error(err))
 		return fail(streams, err)
 	}
 	return subcommands.ExitSuccess
@@ -112,7 +113,7 @@
 		}
 		settings, err := platform.ReadSettings(c.settings)
 		if err != nil {
-			logger.Error("settings were not reloaded", zap.Error(err))
+			logger.Error("settings were not reloaded", logfield.Error(err))
 			continue
 		}
 		r.Reload(platform.RouterOptions(settings, "", logger))
--- a/internal/decisionlog/requests.go
+++ b/internal/decisionlog/requests.go
@@ -139,7 +139,8 @@
 		zap.Int64("config_version", e.ConfigVersion), zap.Duration("config_age_ms", e.ConfigAge),
 	}
 	if e.Key != forward.NoKey {
-		list = append(list, zap.Int("key", e.Key), zap.Duration("owner_wait_ms", e.Waited))
+		list = append(list, zap.Int("key", e.Key), zap.Duration("owner_wait_ms", e.Waited), zap.String("owner", e.Owner),
+			zap.Int64("fence", e.OwnerFence), zap.Bool("moving", e.OwnerMoving))
 	}
 	if e.Rate > 0 {
 		list = append(list, zap.Float64("rate_part", e.Rate), zap.Float64("burst_part", e.Burst))
@@ -175,9 +176,6 @@
 	if a.Detail != "" {
 		encoder.AddString("detail", a.Detail)
 	}
-	if a.Fence != 0 {
-		encoder.AddInt64("fence", a.Fence)
-	}
 	encoder.AddFloat64("busy", a.Busy)
 	encoder.AddDuration("report_age_ms", a.ReportAge)
 	return nil
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/sharedlog"
 )
 
@@ -163,7 +164,7 @@
 	change := d.source.DecodeOperator(record)
 	switch {
 	case change.Err != nil:
-		d.log.Error("configuration record cannot be read", zap.Int64("offset", record.Offset), zap.Error(change.Err))
+		d.log.Error("configuration record cannot be read", zap.Int64("offset", record.Offset), logfield.Error(change.Err))
 		return false
 	case change.Config != nil:
 		if d.config != nil && change.Config.Version <= d.config.Version {
@@ -235,7 +236,7 @@
 	if change.Err != nil {
 		if !d.unread[change.ID] {
 			d.unread[change.ID] = true
-			d.log.Warn("entry of a backend server cannot be read", zap.String("backend", change.ID), zap.Error(change.Err))
+			d.log.Warn("entry of a backend server cannot be read", zap.String("backend", change.ID), logfield.Error(change.Err))
 		}
 		d.removeBackend(change.ID, now)
 		return
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/sharedlog"
 )
 
@@ -131,7 +132,7 @@
 			}
 			if !lost {
 				lost = true
-				f.Log.Warn("log topic lost", zap.String("topic", f.Topic), zap.Error(err))
+				f.Log.Warn("log topic lost", zap.String("topic", f.Topic), logfield.Error(err))
 			}
 			f.failed = f.Now()
 			f.Deliver(sharedlog.Batch{Next: f.Cursor()}, BatchInfo{Sent: sent - staleRead, Failed: f.failed})
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -151,7 +151,7 @@
 func (l *Line) summary() string {
 	var names []string
 	for name := range l.Fields {
-		if !slices.Contains([]string{"ts", "vm", "msg", "level", "attempts", "request"}, name) {
+		if !slices.Contains([]string{"ts", "vm", "msg", "level", "attempts", "request", "errorVerbose"}, name) {
 			names = append(names, name)
 		}
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -198,6 +198,7 @@
 		RequestID: fl.call.ID, Instance: b.ID, TimeLeft: fl.deadline - now, Workspace: workspace,
 	})
 	r := flown{b: b, hedge: hedge, event: AttemptEvent{Backend: b.ID, At: now - fl.request.Received, Hedge: hedge}}
+	r.event.Busy, r.event.ReportAge = f.Servers.estimate(b)
 	request := &upstream.Request{
 		ID: fl.call.ID, Method: fl.request.Method, Target: fl.request.Target, Host: fl.request.Host,
 		Header: header, Body: fl.request.Body, HasBody: fl.request.HasBody,
@@ -337,7 +338,11 @@
 	for {
 		tableChanged, viewChanged := f.Table.Changed(), f.Directory.Changed()
 		reason := pickNoServer
-		if entry := f.Table.Find(fl.service.Name, fl.call.Key); entry != nil && entry.Backend != "" && !entry.Moving {
+		entry := f.Table.Find(fl.service.Name, fl.call.Key)
+		if entry != nil {
+			fl.event.Owner, fl.event.OwnerFence, fl.event.OwnerMoving = entry.Backend, entry.Fence, entry.Moving
+		}
+		if entry != nil && entry.Backend != "" && !entry.Moving {
 			var b *backend
 			left := fl.deadline - f.Clock.Now()
 			if b, reason = f.Servers.owner(f.Directory.View(), entry.Backend, fl.service, f.usual(fl.route), left); b != nil {
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -17,6 +17,11 @@
 	Received time.Duration
 	Took     time.Duration
 	Waited   time.Duration // for the owner of a key that was moving
+	// Owner is the recorded owner of the key, with its fencing token and whether its
+	// keys are on the move.
+	Owner       string
+	OwnerFence  int64
+	OwnerMoving bool
 	// Rate and Burst are this VM's part of the workspace's limit, for refused requests.
 	Rate, Burst float64
 	Attempts    []AttemptEvent
@@ -33,8 +38,6 @@
 	Took   time.Duration
 	Reused bool
 	Hedge  bool // sent beside a slow first attempt
-	// Fence is the fencing token of the owner that was chosen; 0 for services without keys.
-	Fence int64
 	// Busy and ReportAge are the estimated load at the choice and its age.
 	Busy      float64
 	ReportAge time.Duration
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -316,6 +316,16 @@
 	}
 }
 
+// estimate returns the estimated number of requests at a backend server, and the
+// age of the report that it rests on.
+func (s *Servers) estimate(b *backend) (busy float64, age time.Duration) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	standing := b.standing(now)
+	return standing.busy(), standing.ReportAge
+}
+
 // update runs a change of one backend server's state under the lock.
 func (s *Servers) update(change func(now time.Duration)) {
 	now := s.clock.Now()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,6 +15,7 @@
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/fleet"
 	"fireflyfield/internal/forward"
+	"fireflyfield/internal/logfield"
 )
 
 // Handler answers requests. ctx ends when the caller has left.
@@ -49,7 +50,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
-			s.Log.Warn("accept failed", zap.Error(err))
+			s.Log.Warn("accept failed", logfield.Error(err))
 			time.Sleep(acceptRetry)
 			continue
 		}
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -12,6 +12,7 @@
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/sharedlog"
 )
 
@@ -174,7 +175,7 @@
 	now := l.Clock.Now()
 	if r.err != nil {
 		l.Logger.Warn("call for a key range failed", zap.String("backend", r.call.Target.Backend), zap.Uint8("call", uint8(r.call.Kind)),
-			zap.Stringer("range", r.call.Grant.Range), zap.Int64("fence", r.call.Grant.Fence), zap.Error(r.err))
+			zap.Stringer("range", r.call.Grant.Range), zap.Int64("fence", r.call.Grant.Fence), logfield.Error(r.err))
 	}
 	l.held.core.Done(r.call, r.handover, r.err, now)
 }
@@ -245,7 +246,7 @@
 		state.Address = l.Address
 		content, err := state.Encode()
 		if err != nil {
-			l.Logger.Error("assignment cannot be encoded", zap.Error(err))
+			l.Logger.Error("assignment cannot be encoded", logfield.Error(err))
 			return
 		}
 		records = append(records, sharedlog.Record{Key: keyAssignment, Value: content})
@@ -323,7 +324,7 @@
 		h.end = max(h.end, a.end)
 		h.nextTry = l.Clock.Now() + appendRetry
 		h.nextBeat, h.members = 0, nil
-		l.Logger.Warn("append of the assignment failed", zap.Error(a.err), zap.Duration("unconfirmed", l.Clock.Now()-h.confirmed))
+		l.Logger.Warn("append of the assignment failed", logfield.Error(a.err), zap.Duration("unconfirmed", l.Clock.Now()-h.confirmed))
 	}
 }
 
@@ -382,7 +383,7 @@
 	state.Holder, state.Address = l.Instance, l.Address
 	content, err := state.Encode()
 	if err != nil {
-		l.Logger.Error("claim cannot be encoded", zap.Error(err))
+		l.Logger.Error("claim cannot be encoded", logfield.Error(err))
 		return
 	}
 	l.claiming = true
@@ -392,7 +393,7 @@
 func (l *Lessor) finishClaim(a appended) {
 	l.claiming = false
 	if a.err != nil {
-		l.Logger.Info("claim of the lease on assignments failed", zap.Error(a.err))
+		l.Logger.Info("claim of the lease on assignments failed", logfield.Error(a.err))
 		return
 	}
 	l.take(l.Table.Current(), a.end, a.sent, l.claimFrom != 0)
@@ -410,7 +411,7 @@
 
 func (l *Lessor) lose(reason error) {
 	l.held = nil
-	l.Logger.Info("lease on assignments lost", zap.Error(reason))
+	l.Logger.Info("lease on assignments lost", logfield.Error(reason))
 	l.OnHold(false)
 }
 
@@ -424,11 +425,11 @@
 	state.Holder = ""
 	content, err := state.Encode()
 	if err != nil {
-		l.Logger.Error("resignation cannot be encoded", zap.Error(err))
+		l.Logger.Error("resignation cannot be encoded", logfield.Error(err))
 		return
 	}
 	if _, err := l.Log.Append(ctx, l.Topic, []sharedlog.Record{{Key: keyAssignment, Value: content}}, h.end); err != nil {
-		l.Logger.Warn("lease on assignments was not given back", zap.Error(err))
+		l.Logger.Warn("lease on assignments was not given back", logfield.Error(err))
 	}
 	l.lose(errors.New("the VM stops"))
 }
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/sharedlog"
 )
 
@@ -70,7 +71,7 @@
 		case keyAssignment:
 			assignment, err := keyrange.Decode(record.Value)
 			if err != nil {
-				t.log.Error("record of the assignment cannot be read", zap.Int64("offset", record.Offset), zap.Error(err))
+				t.log.Error("record of the assignment cannot be read", zap.Int64("offset", record.Offset), logfield.Error(err))
 				continue
 			}
 			t.set(assignment)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -12,6 +12,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"fireflyfield/internal/logfield"
 )
 
 const (
@@ -74,7 +76,7 @@
 		}
 		var reports []Report
 		if err := cbor.Unmarshal(buffer[:n], &reports); err != nil {
-			e.Log.Debug("load reports cannot be read", zap.Error(err))
+			e.Log.Debug("load reports cannot be read", logfield.Error(err))
 			continue
 		}
 		e.Apply(reports)
@@ -100,7 +102,7 @@
 		}
 		content, err := cbor.Marshal(reports)
 		if err != nil {
-			e.Log.Error("load reports cannot be encoded", zap.Error(err))
+			e.Log.Error("load reports cannot be encoded", logfield.Error(err))
 			continue
 		}
 		for _, peer := range peers {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/directory"
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/sharedlog"
 )
@@ -166,7 +167,7 @@
 		return
 	}
 	close(c.direct)
-	c.Log.Info("relay not in use, reading the log", zap.String("address", address), zap.Error(err))
+	c.Log.Info("relay not in use, reading the log", zap.String("address", address), logfield.Error(err))
 }
 
 // Run polls until ctx ends.
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -12,6 +12,7 @@
 	"fireflyfield/internal/fleet"
 	"fireflyfield/internal/keylease"
 	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/share"
 	"fireflyfield/internal/sharedlog"
 )
@@ -70,7 +71,7 @@
 		err := c.send(ctx)
 		if (err != nil) != failing {
 			failing = err != nil
-			c.r.log.Info("reports of load", zap.Bool("failing", failing), zap.Error(err))
+			c.r.log.Info("reports of load", zap.Bool("failing", failing), logfield.Error(err))
 		}
 	}
 }
@@ -92,7 +93,7 @@
 	}
 	content, err := c.encode()
 	if err != nil {
-		c.r.log.Error("report cannot be encoded", zap.Error(err))
+		c.r.log.Error("report cannot be encoded", logfield.Error(err))
 		return reports
 	}
 	return append(reports, content)
@@ -140,7 +141,7 @@
 func (c *collector) take(content []byte) {
 	var report share.Report
 	if err := share.Decode(content, &report); err != nil {
-		c.r.log.Error("report cannot be read", zap.Error(err))
+		c.r.log.Error("report cannot be read", logfield.Error(err))
 		return
 	}
 	now := c.r.clock.Now()
@@ -156,7 +157,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	if _, err := c.r.o.Log.Append(ctx, c.r.o.ReportTopic, []sharedlog.Record{{Key: c.r.o.VM}}, sharedlog.AnyEnd); err != nil {
-		c.r.log.Info("report of this VM was not removed", zap.Error(err))
+		c.r.log.Info("report of this VM was not removed", logfield.Error(err))
 	}
 }
 
@@ -240,7 +241,7 @@
 func (c *collector) notice(v any) []byte {
 	content, err := share.Encode(v)
 	if err != nil {
-		c.r.log.Error("notice cannot be encoded", zap.Error(err))
+		c.r.log.Error("notice cannot be encoded", logfield.Error(err))
 	}
 	return content
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"fireflyfield/internal/front"
 	"fireflyfield/internal/keylease"
 	"fireflyfield/internal/loadshare"
+	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/metrics"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/relay"
@@ -179,7 +180,7 @@
 func (r *Router) onMembers(content []byte) {
 	var members share.Members
 	if err := share.Decode(content, &members); err != nil {
-		r.log.Error("list of members cannot be read", zap.Error(err))
+		r.log.Error("list of members cannot be read", logfield.Error(err))
 		return
 	}
 	r.members.Store(&members)
@@ -217,7 +218,7 @@
 	go r.sweep(background)
 	go func() {
 		if err := r.front.Serve(callers); err != nil {
-			r.log.Error("callers' listener ended", zap.Error(err))
+			r.log.Error("callers' listener ended", logfield.Error(err))
 		}
 	}()
 	r.log.Info("started", zap.String("instance", r.o.Instance),
@@ -281,7 +282,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
 	go func() {
 		if err := server.Serve(listener); err != nil {
-			r.log.Error("listener ended", zap.String("address", address), zap.Error(err))
+			r.log.Error("listener ended", zap.String("address", address), logfield.Error(err))
 		}
 	}()
 	return nil
@@ -337,7 +338,7 @@
 func (r *Router) onBeat(content []byte) {
 	var allotment share.Allotment
 	if err := share.Decode(content, &allotment); err != nil {
-		r.log.Error("beat cannot be read", zap.Error(err))
+		r.log.Error("beat cannot be read", logfield.Error(err))
 		return
 	}
 	r.limiter.SetAllotment(allotment)
