--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,6 +22,8 @@
 const (
 	// retryShare is the part of the fleet-wide retry ratio that is used.
 	retryShare = 0.9
+	// startSlack is the part of the retry slack that VMs use when they start.
+	startSlack = 0.5
 	// usualGain is the weight of one observation of a route's usual latency.
 	usualGain = 0.03
 	// retryAfterLeast and retryAfterSpread bound the time after which refused callers
@@ -44,8 +46,9 @@
 	Limiter   *share.Limiter
 	Protocol  Protocol
 	Observer  Observer
-	// RetryRatio is the fleet-wide ratio of retries to requests.
-	RetryRatio float64
+	// RetryRatio is the fleet-wide ratio of retries to requests, and RetrySlack the
+	// number of retries that are allowed beyond it in its window.
+	RetryRatio, RetrySlack float64
 	// MaxConfigAge is the age of the configuration above which caller keys are not
 	// accepted, since a withdrawal may have been missed.
 	MaxConfigAge time.Duration
@@ -248,11 +251,26 @@
 		if budget, err = retry.NewBudget(min(1, f.RetryRatio*retryShare), 0); err != nil {
 			panic("forward: retry ratio: " + err.Error())
 		}
+		f.fill(budget)
 		f.budgets[service] = budget
 	}
 	return budget
 }
 
+// fill lets a VM that has just started retry before it has seen requests: after a
+// loss of all VMs, many first attempts meet backend servers that have changed. The
+// VMs together use a part of the slack that the fleet-wide limit leaves.
+func (f *Forwarder) fill(budget *retry.Budget) {
+	share := f.RetryRatio * retryShare
+	if share <= 0 {
+		return
+	}
+	now := time.Unix(0, int64(f.Clock.Now()))
+	for range int(f.RetrySlack * startSlack / float64(max(1, f.Limiter.VMs())) / share) {
+		budget.Request(now)
+	}
+}
+
 func (f *Forwarder) countKey(service string, key int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -203,6 +203,22 @@
 	is.True(time.Since(started) < time.Second)
 }
 
+// TestRetriesAfterStart guards against a VM that cannot retry after its start since
+// it has seen no request yet, and against one that uses all of the fleet's slack.
+func TestRetriesAfterStart(t *testing.T) {
+	is := is.New(t)
+	s := build(t, true, signed)
+	s.RetryRatio, s.RetrySlack = 0.2, 60
+	now := time.Unix(0, int64(clock.System{}.Now()))
+	budget := s.budget("new service")
+	taken := 0
+	for budget.Take(now) {
+		taken++
+	}
+	is.True(taken >= 1)
+	is.True(taken*s.Limiter.VMs() <= 60)
+}
+
 // TestUnsignedSuccess guards against bytes that are no backend server's answer and
 // reach the caller as a success.
 func TestUnsignedSuccess(t *testing.T) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,6 +59,7 @@
 	Grace          time.Duration // time between the signal to stop and the end
 	RevokeWithin   time.Duration // time until a withdrawn caller key stops working
 	RetryRatio     float64
+	RetrySlack     float64
 	Cold           forward.ColdLimits
 	QuotaTolerance share.Tolerance
 
@@ -127,7 +128,7 @@
 	r.forwarder = forward.New(forward.Options{
 		Clock: r.clock, Directory: r.directory, Table: r.table, Servers: r.servers, Limiter: r.limiter,
 		Protocol: o.Protocol, Observer: decisionlog.NewRequests(r.log, r.clock, r.count),
-		RetryRatio: o.RetryRatio, MaxConfigAge: o.RevokeWithin - revokeMargin,
+		RetryRatio: o.RetryRatio, RetrySlack: o.RetrySlack, MaxConfigAge: o.RevokeWithin - revokeMargin,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	r.collector = newCollector(r)
