--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -264,11 +264,12 @@
 	r.stopping.Store(true)
 	r.front.Drain()
 	r.lessor.Stop()
-	r.collector.leave()
 	grace := time.Duration(r.grace.Load())
 	time.Sleep(min(leaveDelay, grace/2))
 	callers.Close() //nolint:errcheck // no connection is expected any more
 	r.front.CloseIdle()
+	// The shares go to the other VMs once no new requests come here.
+	r.collector.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-min(leaveDelay, grace/2)-stopMargin)
 	defer cancel()
 	r.front.Wait(ctx)
