--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -25,9 +25,9 @@
 	// The rest is for grants, and for VMs that are not counted yet.
 	connectionPart = 0.8
 	// coldScattered is the part of the bound that is used if VMs send less than one
-	// request in a window, each at its own time: at half the bound, three standard
-	// deviations stay below it.
-	coldScattered = 0.5
+	// request in a window, each at its own time: at a third of a bound of 16, more than
+	// four standard deviations stay below it.
+	coldScattered = 0.35
 	// coldWindow is the window of that bound.
 	coldWindow = time.Second
 	// sampleAbove is the number of backend servers of a service above which a choice is
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -37,8 +37,10 @@
 	// minBurst is the least burst of a VM's share, in requests.
 	minBurst = 1
 	// callersAt is the number of VMs at which a small workspace of a large fleet has
-	// callers: a VM's burst is at least that part of the whole, whatever its share.
-	callersAt = 10
+	// callers: a VM's burst is at least that part of the whole, but no more than
+	// smallBurst requests, whatever its share.
+	smallBurst = 4
+	callersAt  = 10
 	// maxRetryAfter bounds the time after which a refused caller may come back.
 	maxRetryAfter = 2 * time.Second
 	// demandLife is the time constant of the demand that a VM reports.
@@ -343,7 +345,8 @@
 	share := l.share(w.Name)
 	extra := l.tolerance.Factor*(w.Rate*l.tolerance.Window.Seconds()+w.Burst) + l.tolerance.Slack
 	extra *= toleranceUsed
-	return w.Rate * share, max(minBurst, (w.Burst+extra)*max(share, 1/float64(min(l.count(), callersAt))))
+	whole := w.Burst + extra
+	return w.Rate * share, max(minBurst, whole*share, min(smallBurst, whole/float64(min(l.count(), callersAt))))
 }
 
 // Return gives back a request that did not run.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -144,6 +144,27 @@
 	}
 }
 
+// TestLargeWorkspaceHolds guards against a large workspace of a large fleet that gets
+// more than its rate and burst when it turns up at all VMs at once.
+func TestLargeWorkspaceHolds(t *testing.T) {
+	w := fleet.Workspace{Name: "w", Rate: 186, Burst: 186}
+	passed, _, _ := fleetOf(1, 74, w, func(now time.Duration, vm int) float64 {
+		if now < 5*time.Second {
+			return 186 / 1.6 / 74
+		}
+		return 186 * 4.4 / 1.6 / 74
+	})
+	bound := int((w.Rate*5+w.Burst)*1.1 + 20)
+	for first, last := 0, 0; last < len(passed); last++ {
+		for passed[last]-passed[first] > 5*time.Second {
+			first++
+		}
+		if n := last - first + 1; n > bound {
+			t.Fatalf("%d requests in 5 s at %s, at most %d are allowed", n, passed[last], bound)
+		}
+	}
+}
+
 // TestFewWrongfulRefusals guards against requests that are refused although the
 // workspace stays inside its rate, when its callers are spread unevenly.
 func TestFewWrongfulRefusals(t *testing.T) {
