--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -25,9 +25,14 @@
 	front    *Proxy
 	log      *Proxy
 
+	// starting is held while the process is ended and started again, so that a VM never
+	// has two processes.
+	starting sync.Mutex
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	done    chan struct{}
+	ended   bool // no process may be started any more
 }
 
 const (
@@ -93,13 +98,16 @@
 	}
 	process := exec.Command(v.soak.o.Binary, "route", "-settings", v.settings)
 	process.Stdout, process.Stderr = out, out
+	done := make(chan struct{})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.ended {
+		return out.Close()
+	}
 	if err := process.Start(); err != nil {
 		return errors.Wrap(err, v.name)
 	}
-	done := make(chan struct{})
-	v.mu.Lock()
 	v.process, v.done = process, done
-	v.mu.Unlock()
 	go func() {
 		process.Wait() //nolint:errcheck // most processes are killed
 		out.Close()    //nolint:errcheck // the process wrote the file
@@ -118,6 +126,8 @@
 
 // restart ends the process with a signal and starts it again.
 func (v *vm) restart(signal syscall.Signal, wait time.Duration) {
+	v.starting.Lock()
+	defer v.starting.Unlock()
 	v.signal(signal)
 	v.mu.Lock()
 	done := v.done
@@ -131,11 +141,12 @@
 
 // end kills the process for good.
 func (v *vm) end() {
-	v.signal(syscall.SIGCONT)
-	v.signal(syscall.SIGKILL)
 	v.mu.Lock()
+	v.ended = true
 	done := v.done
 	v.mu.Unlock()
+	v.signal(syscall.SIGCONT)
+	v.signal(syscall.SIGKILL)
 	if done != nil {
 		<-done
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -43,6 +43,27 @@
 	}
 }
 
+// TestEnd guards against processes that a soak leaves behind: a restart may be under
+// way when it ends.
+func TestEnd(t *testing.T) {
+	s := newSoak(Options{Binary: binary(t), Dir: t.TempDir(), VMs: 1, Workers: 1})
+	if err := s.start(); err != nil {
+		t.Fatal(err)
+	}
+	v := s.vms[0]
+	restarted := make(chan struct{})
+	go func() {
+		defer close(restarted)
+		v.restart(syscall.SIGKILL, 200*time.Millisecond)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	s.stop()
+	<-restarted
+	if err := v.process.Process.Signal(syscall.Signal(0)); err == nil {
+		t.Error("a process is left")
+	}
+}
+
 // TestReload guards against a signal to reload the settings that ends the process.
 func TestReload(t *testing.T) {
 	s := newSoak(Options{Binary: binary(t), Dir: t.TempDir(), VMs: 1, Workers: 1})
