--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -31,8 +33,9 @@
 
 // routeCommand runs one VM on the platform.
 type routeCommand struct {
-	settings string
-	logLevel string
+	settings    string
+	metricsPort int
+	logLevel    string
 }
 
 // Name implements subcommands.Command.
@@ -53,6 +56,7 @@
 // SetFlags implements subcommands.Command.
 func (c *routeCommand) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&c.settings, "settings", "", "settings file of the platform; if empty, "+platform.SettingsVariable+" names it")
+	fs.IntVar(&c.metricsPort, "metrics-port", 9464, "port of the metrics listener on the VM's address")
 	fs.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
 }
 
@@ -87,7 +91,9 @@
 	}
 	writer := decisionlog.NewWriter(streams.Out)
 	logger := decisionlog.NewLogger(writer, level).With(zap.String("vm", settings.VM))
-	r, err := router.New(platform.RouterOptions(settings, uuid.NewString(), logger))
+	options := platform.RouterOptions(settings, uuid.NewString(), logger)
+	options.MetricsListen = net.JoinHostPort(settings.IP, strconv.Itoa(c.metricsPort))
+	r, err := router.New(options)
 	if err != nil {
 		return fail(streams, err)
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -27,6 +28,16 @@
 	return time.Duration(ts.Nano())
 }
 
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Fake is a clock for tests.
 type Fake struct{ Time time.Duration }
 
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"fireflyfield/internal/clock"
 	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/sharedlog"
 )
@@ -136,7 +137,7 @@
 			}
 			f.failed = f.Now()
 			f.Deliver(sharedlog.Batch{Next: f.Cursor()}, BatchInfo{Sent: sent - staleRead, Failed: f.failed})
-			sleep(ctx, retry)
+			clock.Sleep(ctx, retry)
 			retry = min(2*retry, lastRetry)
 			continue
 		}
@@ -147,7 +148,7 @@
 		retry = firstRetry
 		f.Deliver(batch, BatchInfo{Whole: whole, Sent: sent, Failed: f.failed})
 		if spent := f.Now() - sent; spent < f.Interval {
-			sleep(ctx, f.Interval-spent)
+			clock.Sleep(ctx, f.Interval-spent)
 		}
 	}
 }
@@ -187,12 +188,3 @@
 	batch, err := log.Newest(ctx, f.Topic)
 	return batch, true, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// ownerWait bounds the wait for a key that has no owner, as a part of the time
-	// that the request has.
+	// ownerWaitPart: a request waits for the owner of its key for this part of the time
+	// that it has.
 	ownerWaitPart = 3
 	// ownerPause is the time between tries at an owner that refused a key: its grant
 	// may be under way.
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -118,7 +118,6 @@
 	// avoid holds backend servers that could not be reached and until when they get
 	// no further keys.
 	avoid map[string]time.Duration
-	moved int
 }
 
 // firstSeen is the number of backend servers of a service without assignments.
@@ -196,9 +195,6 @@
 	return false
 }
 
-// Moved is the number of ranges that were given to another owner.
-func (c *Core) Moved() int { return c.moved }
-
 // Step brings the assignments in line with the input and returns the calls that
 // are due.
 func (c *Core) Step(now time.Duration, in Input) []Call {
@@ -547,9 +543,6 @@
 		// The range began to move while the call was under way.
 		u.nextCall = now
 	case err == nil:
-		if !u.granted {
-			c.moved++
-		}
 		u.granted, u.handover = true, ""
 		u.nextCall = now + RenewInterval
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrRejected):
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"fireflyfield/internal/clock"
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/peer"
@@ -176,13 +177,13 @@
 		address := c.Address()
 		if address == "" {
 			c.setActive(false, address, nil)
-			sleep(ctx, retryAfter/4)
+			clock.Sleep(ctx, retryAfter/4)
 			continue
 		}
 		if err := c.poll(ctx, address); err != nil {
 			c.setActive(false, address, err)
 			c.Peers.Drop(address)
-			sleep(ctx, retryAfter)
+			clock.Sleep(ctx, retryAfter)
 			continue
 		}
 		c.setActive(true, address, nil)
@@ -227,12 +228,3 @@
 	}
 	f.Deliver(batch, info)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -199,7 +199,8 @@
 		return errors.Wrap(err, "readiness listener")
 	}
 	if err := r.serveHTTP(r.o.MetricsListen, r.metricsMux()); err != nil {
-		return errors.Wrap(err, "metrics listener")
+		// Callers are served without metrics.
+		r.log.Error("no metrics listener", zap.String("address", r.o.MetricsListen), logfield.Error(err))
 	}
 	if err := r.serveHTTP(r.o.PeerListen, r.peerMux()); err != nil {
 		return errors.Wrap(err, "listener for other VMs")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"fireflyfield/internal/clock"
 )
 
 const (
@@ -148,7 +150,7 @@
 			s.healing = append(s.healing, time.AfterFunc(lasts, finish))
 			s.finishers = append(s.finishers, finish)
 		}
-		sleep(ctx, leastPause+time.Duration(s.random.Int64N(int64(pauseSpread))))
+		clock.Sleep(ctx, leastPause+time.Duration(s.random.Int64N(int64(pauseSpread))))
 	}
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -22,8 +23,10 @@
 	name     string
 	settings string
 	ready    string
-	front    *Proxy
-	log      *Proxy
+	// metricsPort is the port of the VM's metrics.
+	metricsPort int
+	front       *Proxy
+	log         *Proxy
 
 	// starting is held while the process is ended and started again, so that a VM never
 	// has two processes.
@@ -39,8 +42,8 @@
 	// firstPort and ports are the range of the VMs' ports. It lies below the range from
 	// which the kernel takes ports: a VM that is down must find its ports free again.
 	firstPort, ports = 15000, 16000
-	// portsOfVM is the number of adjacent ports of one VM: callers, readiness, metrics,
-	// other VMs, load reports.
+	// portsOfVM is the number of adjacent ports of one VM: callers, readiness, other VMs,
+	// load reports, metrics.
 	portsOfVM = 5
 )
 
@@ -73,7 +76,7 @@
 		return nil, err
 	}
 	front := fmt.Sprintf("127.0.0.1:%d", first)
-	v.ready = fmt.Sprintf("127.0.0.1:%d", first+1)
+	v.ready, v.metricsPort = fmt.Sprintf("127.0.0.1:%d", first+1), first+4
 	if v.front, err = NewProxy(front); err != nil {
 		return nil, err
 	}
@@ -96,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	process := exec.Command(v.soak.o.Binary, "route", "-settings", v.settings)
+	process := exec.Command(v.soak.o.Binary, "route", "-settings", v.settings, "-metrics-port", strconv.Itoa(v.metricsPort))
 	process.Stdout, process.Stderr = out, out
 	done := make(chan struct{})
 	v.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"fireflyfield/internal/clock"
 	"fireflyfield/platform/platformtest"
 )
 
@@ -101,9 +102,9 @@
 	}
 	s.inject(ctx)
 	s.heal()
-	sleep(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	s.setFinal()
-	sleep(ctx, finalTime)
+	clock.Sleep(ctx, finalTime)
 	stopClients()
 	wait.Wait()
 	s.checkEnd()
@@ -118,13 +119,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Soak) start() error {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -216,7 +210,7 @@
 			client.CloseIdleConnections()
 			at = s.vms[random.IntN(len(s.vms))]
 		}
-		sleep(ctx, requestPause)
+		clock.Sleep(ctx, requestPause)
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -75,7 +75,6 @@
 type conn struct {
 	net     net.Conn
 	reader  *bufio.Reader
-	dialed  time.Duration
 	idle    time.Duration // since when the connection is idle
 	idleFor time.Duration // how long it may stay idle
 	used    int
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -123,7 +123,7 @@
 		p.mu.Unlock()
 		return nil, errors.Wrap(ErrNoConnection, err.Error())
 	}
-	return &conn{net: connection, reader: bufio.NewReaderSize(connection, readBuffer), dialed: p.clock.Now()}, nil
+	return &conn{net: connection, reader: bufio.NewReaderSize(connection, readBuffer)}, nil
 }
 
 // pop takes the idle connection that was used last, and drops those that were idle
