Let requests inside a workspace's rate wait for their VM's share

Cause: at 74 VMs a small workspace has one or two requests a second at each of nine VMs, and five of them within two seconds use up the burst of one VM. The missing time was 4 to 580 ms in the traced refusals. Ruled out: noise of the reported demand. Change: while the demand of all VMs is inside the rate, a request waits for the share of its VM, for at most 400 ms and a quarter of its time; reported demand is the greater of a fast and a slow rate. The sums over all VMs are tested with the time at which delayed requests run.

--- a/internal/decisionlog/requests.go
+++ b/internal/decisionlog/requests.go
@@ -143,7 +143,7 @@
 			zap.Int64("fence", e.OwnerFence), zap.Bool("moving", e.OwnerMoving))
 	}
 	if e.Rate > 0 {
-		list = append(list, zap.Float64("rate_part", e.Rate), zap.Float64("burst_part", e.Burst))
+		list = append(list, zap.Float64("rate_part", e.Rate), zap.Float64("burst_part", e.Burst), zap.Duration("rate_wait_ms", e.RateWait))
 	}
 	if len(e.Attempts) > 0 {
 		list = append(list, zap.Array("attempts", attempts(e.Attempts)))
--- a/internal/forward/event.go
+++ b/internal/forward/event.go
@@ -22,8 +22,10 @@
 	Owner       string
 	OwnerFence  int64
 	OwnerMoving bool
-	// Rate and Burst are this VM's part of the workspace's limit, for refused requests.
+	// Rate and Burst are this VM's part of the workspace's limit, for requests that it
+	// refused or delayed, and RateWait is the delay.
 	Rate, Burst float64
+	RateWait    time.Duration
 	Attempts    []AttemptEvent
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -30,6 +30,9 @@
 	// return, spread evenly so that they do not return together.
 	retryAfterLeast  = 150 * time.Millisecond
 	retryAfterSpread = 250 * time.Millisecond
+	// rateWaitPart: a request waits for the rate of its workspace for at most this part
+	// of the time that it has; the rest is for a retry.
+	rateWaitPart = 4
 	// answerMargin is how long the VM waits beyond the time that it gave a backend
 	// server, whose own answer at the deadline says more than a timeout.
 	answerMargin = 30 * time.Millisecond
@@ -113,7 +116,7 @@
 }
 
 func (f *Forwarder) handle(ctx context.Context, fl *flight) *Answer {
-	if answer := f.admit(fl); answer != nil {
+	if answer := f.admit(ctx, fl); answer != nil {
 		return answer
 	}
 	attempts, cancel := f.attemptContext(ctx, fl)
@@ -123,7 +126,7 @@
 
 // admit checks route, caller key and rate. It returns the answer to a request that
 // does not pass.
-func (f *Forwarder) admit(fl *flight) *Answer {
+func (f *Forwarder) admit(ctx context.Context, fl *flight) *Answer {
 	age := f.Directory.ConfigAge()
 	fl.event.ConfigAge = age
 	if fl.view == nil {
@@ -145,7 +148,7 @@
 		return f.reject(fl, http.StatusUnauthorized, "caller-key-unknown")
 	}
 	fl.deadline = fl.request.Received + f.timeLeft(fl)
-	return f.admitRate(fl)
+	return f.admitRate(ctx, fl)
 }
 
 func (f *Forwarder) timeLeft(fl *flight) time.Duration {
@@ -159,16 +162,22 @@
 	return left
 }
 
-func (f *Forwarder) admitRate(fl *flight) *Answer {
+func (f *Forwarder) admitRate(ctx context.Context, fl *flight) *Answer {
 	if fl.owner == nil {
 		return nil
 	}
 	fl.event.Workspace = fl.owner.Name
-	decision := f.Limiter.Take(fl.owner, f.Clock.Now())
-	if decision.OK {
+	now := f.Clock.Now()
+	decision := f.Limiter.Take(fl.owner, now, (fl.deadline-now)/rateWaitPart)
+	if decision.OK && decision.Wait == 0 {
 		return nil
 	}
 	fl.event.Rate, fl.event.Burst = decision.Rate, decision.Burst
+	if decision.OK {
+		wait(ctx, decision.Wait, nil, nil)
+		fl.event.RateWait = f.Clock.Now() - now
+		return nil
+	}
 	answer := f.refuse(fl, http.StatusTooManyRequests, "rate-exceeded")
 	answer.Header.Set("Retry-After", formatSeconds(max(decision.Wait, retryAfterLeast)))
 	return answer
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -349,3 +349,29 @@
 		t.Errorf("forwarded headers %s", got)
 	}
 }
+
+// TestShortOverrun guards against refusals of requests that only need to wait for
+// a moment: callers of a workspace inside its rate that send together at one VM.
+func TestShortOverrun(t *testing.T) {
+	is := is.New(t)
+	s := build(t, true, signed)
+	workspace := &fleet.Workspace{Name: "w", Rate: 480, Burst: 24}
+	now := clock.System{}.Now()
+	refused, delayed := 0, 0
+	for range 6 {
+		fl := &flight{owner: workspace, deadline: now + time.Minute, event: Event{Received: now}}
+		if s.admitRate(context.Background(), fl) != nil {
+			refused++
+		}
+		if fl.event.RateWait > 0 {
+			delayed++
+		}
+	}
+	is.Equal(refused, 0)
+	is.True(delayed > 0)
+	// Without time to wait, the request is refused at once.
+	s.Limiter.Take(workspace, clock.System{}.Now(), time.Second)
+	fl := &flight{owner: workspace, deadline: clock.System{}.Now() + time.Millisecond}
+	answer := s.admitRate(context.Background(), fl)
+	is.Equal(answer.Status, http.StatusTooManyRequests)
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -41,10 +41,16 @@
 	// smallBurst requests, whatever its share.
 	smallBurst = 4
 	callersAt  = 10
+	// maxWait is how long a request of a workspace inside its rate waits for its VM's
+	// share: about as long as a refused caller waits until it returns.
+	maxWait = 400 * time.Millisecond
 	// maxRetryAfter bounds the time after which a refused caller may come back.
 	maxRetryAfter = 2 * time.Second
-	// demandLife is the time constant of the demand that a VM reports.
-	demandLife = 4 * time.Second
+	// demandFast and demandSlow are the time constants of the demand that a VM reports,
+	// which is the greater of the two rates: a share grows soon after its demand and
+	// does not shrink between the requests of a few callers.
+	demandFast = 2 * time.Second
+	demandSlow = 8 * time.Second
 )
 
 // KeyCount is a number of requests for one key since the last report.
@@ -86,6 +92,8 @@
 	// Shares are the shares of tight workspaces in the order of the members. Every VM
 	// has an even share of the others.
 	Shares map[string][]float32 `cbor:"2,keyasint,omitempty"`
+	// Over lists the workspaces whose demand exceeds their rate.
+	Over []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the content of a report or allotment.
@@ -165,32 +173,40 @@
 func (a *Allocator) Allot(workspaces []fleet.Workspace, members Members) Allotment {
 	allotment := Allotment{Epoch: members.Epoch, Count: len(members.List), Shares: make(map[string][]float32)}
 	for i := range workspaces {
-		if shares := a.divide(&workspaces[i], members.List); shares != nil {
-			allotment.Shares[workspaces[i].Name] = shares
+		w := &workspaces[i]
+		demands, total := a.demands(w.Name, members.List)
+		if shares := divide(w.Rate, demands, total); shares != nil {
+			allotment.Shares[w.Name] = shares
+		}
+		if w.Rate > 0 && total > w.Rate {
+			allotment.Over = append(allotment.Over, w.Name)
 		}
 	}
 	return allotment
 }
 
-// divide returns the shares of a tight workspace, or nil.
-func (a *Allocator) divide(w *fleet.Workspace, members []Member) []float32 {
-	if w.Rate <= 0 || len(members) == 0 {
-		return nil
-	}
-	demands := make([]float64, len(members))
-	total, most := 0.0, 0.0
+// demands returns the demand for a workspace by member, and its sum.
+func (a *Allocator) demands(workspace string, members []Member) (demands []float64, total float64) {
+	demands = make([]float64, len(members))
 	for i, member := range members {
 		if r := a.reports[member.VM]; r != nil {
-			demands[i] = float64(r.report.Demand[w.Name])
+			demands[i] = float64(r.report.Demand[workspace])
 		}
 		total += demands[i]
-		most = max(most, demands[i])
 	}
-	even := 1 / float64(len(members))
-	if total < tightDemand*w.Rate && most < tightDemand*w.Rate*even {
+	return demands, total
+}
+
+// divide returns the shares of a tight workspace, or nil.
+func divide(rate float64, demands []float64, total float64) []float32 {
+	if rate <= 0 || len(demands) == 0 {
+		return nil
+	}
+	even := 1 / float64(len(demands))
+	if total < tightDemand*rate && slices.Max(demands) < tightDemand*rate*even {
 		return nil
 	}
-	shares := make([]float32, len(members))
+	shares := make([]float32, len(demands))
 	for i, demand := range demands {
 		shares[i] = float32(evenPart*even + (1-evenPart)*demand/total)
 	}
@@ -225,18 +241,24 @@
 	at     time.Duration
 }
 
-// meter is an exponentially decaying rate.
+// meter is a pair of exponentially decaying rates.
 type meter struct {
-	rate float64
-	at   time.Duration
+	fast, slow float64
+	at         time.Duration
 }
 
 func (m *meter) add(now time.Duration, n float64) {
-	m.rate = m.rate*decay(now-m.at) + n/demandLife.Seconds()
+	m.fast = m.fast*decay(now-m.at, demandFast) + n/demandFast.Seconds()
+	m.slow = m.slow*decay(now-m.at, demandSlow) + n/demandSlow.Seconds()
 	m.at = now
 }
 
-func decay(elapsed time.Duration) float64 { return math.Exp(-elapsed.Seconds() / demandLife.Seconds()) }
+// rate returns the greater rate.
+func (m *meter) rate(now time.Duration) float64 {
+	return max(m.fast*decay(now-m.at, demandFast), m.slow*decay(now-m.at, demandSlow))
+}
+
+func decay(elapsed, life time.Duration) float64 { return math.Exp(-elapsed.Seconds() / life.Seconds()) }
 
 // NewLimiter returns the limiter of a VM.
 func NewLimiter(vm string, tolerance Tolerance) *Limiter {
@@ -301,15 +323,19 @@
 // Decision is the outcome of Take with what decided it.
 type Decision struct {
 	OK bool
-	// Wait is how long the caller of a refused request should wait.
+	// Wait is how long the request must wait before it runs, or, if it is refused, how
+	// long its caller should wait.
 	Wait time.Duration
 	// Rate and Burst are this VM's part of the limit, in requests per second and
 	// requests; 0 means no limit.
 	Rate, Burst float64
 }
 
-// Take takes one request out of the workspace's share.
-func (l *Limiter) Take(w *fleet.Workspace, now time.Duration) Decision {
+// Take takes one request out of the workspace's share. While the demand of all VMs
+// is inside the rate, a request that finds the share of this VM used up may wait for
+// it, for at most patience: that answers callers that happen to send together at one
+// of many VMs.
+func (l *Limiter) Take(w *fleet.Workspace, now, patience time.Duration) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m := l.demand[w.Name]
@@ -336,6 +362,10 @@
 		return d
 	}
 	d.Wait = min(maxRetryAfter, time.Duration((1-b.tokens)/d.Rate*float64(time.Second)))
+	if d.Wait <= min(patience, maxWait) && !slices.Contains(l.allotment.Over, w.Name) {
+		b.tokens--
+		d.OK = true
+	}
 	return d
 }
 
@@ -364,7 +394,7 @@
 	defer l.mu.Unlock()
 	out := make(map[string]float32, len(l.demand))
 	for name, m := range l.demand {
-		if rate := m.rate * decay(now-m.at); rate > 0.05 {
+		if rate := m.rate(now); rate > 0.05 {
 			out[name] = float32(rate)
 		}
 	}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,8 +98,8 @@
 					continue
 				}
 				asked++
-				if l.Take(&w, now).OK {
-					passed = append(passed, now)
+				if d := l.Take(&w, now, time.Second); d.OK {
+					passed = append(passed, now+d.Wait)
 				} else {
 					refused++
 				}
@@ -118,6 +119,7 @@
 			}
 		}
 	}
+	slices.Sort(passed)
 	return passed, refused, asked
 }
 
