Cut the calls to the log when its holder, the log or all VMs are lost

Ages added up along the tree, since each relay waited for its own time before it confirmed without news. Ruled out: steady state, which is 12 calls in 2 s. Change: relays pass a confirmation on at once; first polls do not wait; the holder takes its own accepted appends without a read; VMs that start read once and wait for the first relay; stale relays are kept while a VM's own reads fail too; reads of a silent holder's topic are timed for the claim; a process that listens where the holder did claims at once; reports without a relay go every 2 s. Tests: TestConfirmationIsPassedOn, TestLogAway, TestRestartedHolder, TestHolderReadsNothing fail on the code before. What remains at the start is the lease's topic, read by each VM.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -87,7 +87,8 @@
 	mu      sync.Mutex
 	next    int64 // offset to read from; valid if started
 	started bool
-	failed  time.Duration
+	failed  time.Duration // when the last read failed; 0 if none did
+	lost    bool          // the last read failed
 }
 
 // Cursor returns the offset to read on from, or -1 before the first batch.
@@ -117,42 +118,82 @@
 	f.Apply(batch, info)
 }
 
-// Run reads the log until ctx ends, except while it is paused.
+// Appended takes records that this process appended at an offset itself, by a
+// conditional append that was sent at a time. It needs no read to know them, if it
+// knows all before them.
+func (f *Follower) Appended(records []sharedlog.Record, at int64, sent time.Duration) {
+	batch := sharedlog.Batch{Next: at + int64(len(records))}
+	for i, r := range records {
+		r.Offset = at + int64(i)
+		batch.Records = append(batch.Records, r)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.started || f.next != at {
+		return
+	}
+	f.next = batch.Next
+	f.Apply(batch, BatchInfo{Sent: sent, Failed: f.failed})
+}
+
+// FailedSince reports whether the last read failed, at or after a reading of the clock.
+func (f *Follower) FailedSince(at time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost && f.failed >= at
+}
+
+// Run reads the log until ctx ends, except while it is paused. The first read after
+// a pause does not wait for records, so that it confirms at once what is known.
 func (f *Follower) Run(ctx context.Context, log sharedlog.Log) {
 	retry := firstRetry
-	lost := false
+	resumed := false
 	for ctx.Err() == nil {
 		if f.pause(ctx) {
+			resumed = true
 			continue
 		}
+		wait := time.Duration(0)
+		if f.Wait != nil && !resumed {
+			wait = f.Wait()
+		}
 		sent := f.Now()
-		batch, whole, err := f.read(ctx, log)
+		batch, whole, err := f.read(ctx, log, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		failed := f.note(err, batch.Next)
 		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			if !lost {
-				lost = true
-				f.Log.Warn("log topic lost", zap.String("topic", f.Topic), logfield.Error(err))
-			}
-			f.failed = f.Now()
-			f.Deliver(sharedlog.Batch{Next: f.Cursor()}, BatchInfo{Sent: sent - staleRead, Failed: f.failed})
+			f.Deliver(sharedlog.Batch{Next: f.Cursor()}, BatchInfo{Sent: sent - staleRead, Failed: failed})
 			clock.Sleep(ctx, retry)
 			retry = min(2*retry, lastRetry)
 			continue
 		}
-		if lost {
-			lost = false
-			f.Log.Info("log topic regained", zap.String("topic", f.Topic), zap.Int64("next", batch.Next))
-		}
-		retry = firstRetry
-		f.Deliver(batch, BatchInfo{Whole: whole, Sent: sent, Failed: f.failed})
+		retry, resumed = firstRetry, false
+		f.Deliver(batch, BatchInfo{Whole: whole, Sent: sent, Failed: failed})
 		if spent := f.Now() - sent; spent < f.Interval {
 			clock.Sleep(ctx, f.Interval-spent)
 		}
 	}
 }
 
+// note records and logs how a read ended, and returns when the last read failed.
+func (f *Follower) note(err error, next int64) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err != nil && !f.lost:
+		f.Log.Warn("log topic lost", zap.String("topic", f.Topic), logfield.Error(err))
+	case err == nil && f.lost:
+		f.Log.Info("log topic regained", zap.String("topic", f.Topic), zap.Int64("next", next))
+	}
+	f.lost = err != nil
+	if f.lost {
+		f.failed = f.Now()
+	}
+	return f.failed
+}
+
 // staleRead is subtracted from the time of a failed read, which confirms nothing.
 const staleRead = time.Hour
 
@@ -173,13 +214,9 @@
 }
 
 // read reads on, or all newest records at first and after records were lost.
-func (f *Follower) read(ctx context.Context, log sharedlog.Log) (sharedlog.Batch, bool, error) {
+func (f *Follower) read(ctx context.Context, log sharedlog.Log, wait time.Duration) (sharedlog.Batch, bool, error) {
 	next := f.Cursor()
 	if next >= 0 {
-		wait := time.Duration(0)
-		if f.Wait != nil {
-			wait = f.Wait()
-		}
 		batch, err := log.Read(ctx, f.Topic, next, wait)
 		if !errors.Is(err, sharedlog.ErrTrimmed) {
 			return batch, false, err
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"hash/fnv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,8 +18,12 @@
 )
 
 const (
-	// shortWait is how long a read of the topic waits once the holder is silent.
-	shortWait = 150 * time.Millisecond
+	// idleWait is how long a read of the topic waits while nobody holds the lease, or
+	// the holder is silent and this VM has tried to claim it.
+	idleWait = 500 * time.Millisecond
+	// ownAppends is the age of the last accepted append up to which the holder does
+	// not read the topic: two beats and an append that takes 100 times as long.
+	ownAppends = 1800 * time.Millisecond
 	// holderTick and memberTick are the times between steps without an event.
 	holderTick = 100 * time.Millisecond
 	memberTick = 250 * time.Millisecond
@@ -67,6 +72,9 @@
 	stopping  chan struct{}
 	stopped   chan struct{}
 	claimFrom time.Duration
+	follower  *directory.Follower
+	// paused is set while the topic is not read; its channel is closed at the end.
+	paused atomic.Pointer[chan struct{}]
 	// deposedAt is the offset after the record by which another VM took the lease.
 	deposedAt int64
 }
@@ -94,7 +102,8 @@
 	version int64
 	claim   bool
 	sent    time.Duration
-	end     int64
+	records []sharedlog.Record
+	at, end int64
 	err     error
 }
 
@@ -110,16 +119,33 @@
 	}
 }
 
-// readWait returns how long a read waits: until the holder counts as silent, so that
-// the read after it can confirm that.
+// readWait returns how long a read waits: until this VM may claim the lease of a
+// silent holder. The read after it does not wait, and confirms that the holder is
+// silent.
 func (l *Lessor) readWait() time.Duration {
-	return min(ClaimAfter, max(shortWait, l.Table.lastHeard()+ClaimAfter-l.Clock.Now()))
+	heard, read := l.Table.times()
+	claimAt := heard + ClaimAfter + l.spread()
+	now := l.Clock.Now()
+	switch {
+	case l.Table.holder() == "" || read >= claimAt:
+		return idleWait
+	case now < claimAt:
+		return min(ClaimAfter, claimAt-now)
+	}
+	return 0
 }
 
 // Follower returns the follower of the topic.
 func (l *Lessor) Follower() *directory.Follower {
+	if l.follower == nil {
+		l.follower = l.newFollower()
+	}
+	return l.follower
+}
+
+func (l *Lessor) newFollower() *directory.Follower {
 	return &directory.Follower{
-		Topic: l.Topic, Wait: l.readWait, Log: l.Logger, Now: l.Clock.Now,
+		Topic: l.Topic, Wait: l.readWait, Pause: l.pauseReads, Log: l.Logger, Now: l.Clock.Now,
 		Apply: func(b sharedlog.Batch, info directory.BatchInfo) {
 			n := l.Table.apply(b, info.Sent, l.Clock.Now())
 			if n.members != nil {
@@ -132,6 +158,28 @@
 	}
 }
 
+// pauseReads returns a channel that is closed when the topic is to be read again, or
+// nil to read it now. A holder whose appends are accepted knows what the topic holds.
+func (l *Lessor) pauseReads() <-chan struct{} {
+	if paused := l.paused.Load(); paused != nil {
+		return *paused
+	}
+	return nil
+}
+
+// setPaused pauses the reads of the topic or lets them go on.
+func (l *Lessor) setPaused(pause bool) {
+	if pause == (l.paused.Load() != nil) {
+		return
+	}
+	if pause {
+		resume := make(chan struct{})
+		l.paused.Store(&resume)
+		return
+	}
+	close(*l.paused.Swap(nil))
+}
+
 // Prepare must be called before Run and Stop.
 func (l *Lessor) Prepare() { l.stopping = make(chan struct{}) }
 
@@ -199,12 +247,15 @@
 
 // tableIsNewer reports whether the table has read past this VM's own appends.
 func (l *Lessor) tableIsNewer() bool {
-	_, next := l.Table.silent(0)
+	_, next := l.Table.silent()
 	return next >= l.held.end
 }
 
 func (l *Lessor) stepHolder(ctx context.Context, now time.Duration) {
 	h := l.held
+	if now-h.confirmed > ownAppends {
+		l.setPaused(false)
+	}
 	if in, ok := l.Input(); ok && now-h.confirmed < Authority {
 		for _, call := range h.core.Step(now, in) {
 			l.send(ctx, call)
@@ -266,6 +317,7 @@
 
 // append runs one conditional append and reports its result to the loop.
 func (l *Lessor) append(ctx context.Context, h *holding, records []sharedlog.Record, at int64, a appended) {
+	a.records, a.at = records, at
 	go func() {
 		a.end, a.err = l.Log.Append(ctx, l.Topic, records, at)
 		if a.err != nil {
@@ -317,6 +369,7 @@
 	case a.err == nil:
 		h.end, h.confirmed = a.end, a.sent
 		h.core.Accepted(a.version)
+		l.learn(a)
 	case errors.Is(a.err, errDeposed):
 		l.deposedAt = a.end
 		l.lose(a.err)
@@ -328,32 +381,33 @@
 	}
 }
 
-// claimIfFree claims the lease if its holder resigned or fell silent.
+// learn takes the records of an accepted append into the table, and so to the VMs that
+// this one relays to, without a read.
+func (l *Lessor) learn(a appended) {
+	if a.end != a.at+int64(len(a.records)) {
+		return // others appended too; a read tells what
+	}
+	follower := l.Follower()
+	follower.Appended(a.records, a.at, a.sent)
+	if follower.Cursor() == a.end {
+		l.setPaused(true)
+	}
+}
+
+// claimIfFree claims the lease if its holder resigned, fell silent or ended.
 func (l *Lessor) claimIfFree(ctx context.Context, now time.Duration) {
 	if l.claiming || l.isStopping() {
 		return
 	}
-	silent, next := l.Table.silent(now)
+	silent, next := l.Table.silent()
 	current := l.Table.Current()
-	resigned := current == nil || current.Holder == ""
-	wait := l.spread()
-	if !resigned {
-		wait += ClaimAfter
-	}
 	if next == 0 && l.Table.notRead() {
 		return
 	}
-	if _, ok := l.Input(); !ok {
-		return
-	}
-	if resigned {
-		if l.claimFrom == 0 {
-			l.claimFrom = now
-		}
-		silent = now - l.claimFrom
-	} else {
-		l.claimFrom = 0
+	if _, ok := l.Input(); !ok && current != nil {
+		return // a VM that knows the fleet can do more
 	}
+	free := l.free(current, silent, now)
 	if next < l.deposedAt {
 		return // the table has not read yet that another VM took the lease
 	}
@@ -362,10 +416,25 @@
 		l.take(current, next, now, false)
 		return
 	}
-	if silent < wait {
-		return
+	if free {
+		l.claim(ctx, current, next, now)
+	}
+}
+
+// free reports whether this VM may claim the lease, after the holder was silent for
+// some time.
+func (l *Lessor) free(current *keyrange.Assignment, silent, now time.Duration) bool {
+	if current == nil || current.Holder == "" {
+		if l.claimFrom == 0 {
+			l.claimFrom = now
+		}
+		return now-l.claimFrom >= l.spread()
+	}
+	l.claimFrom = 0
+	if current.Address == l.Address && current.Holder != l.Instance {
+		return true // this process listens where the holder did, which has ended
 	}
-	l.claim(ctx, current, next, now)
+	return silent >= ClaimAfter+l.spread()
 }
 
 // spread returns this VM's share of claimSpread, so that claims rarely meet.
@@ -397,6 +466,7 @@
 		return
 	}
 	l.take(l.Table.Current(), a.end, a.sent, l.claimFrom != 0)
+	l.learn(a)
 }
 
 // take starts to hold the lease. The recorded state is that before the claim, which
@@ -411,6 +481,7 @@
 
 func (l *Lessor) lose(reason error) {
 	l.held = nil
+	l.setPaused(false)
 	l.Logger.Info("lease on assignments lost", logfield.Error(reason))
 	l.OnHold(false)
 }
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -21,7 +21,8 @@
 	records []sharedlog.Record
 	cut     bool
 	// late makes an append fail although it takes effect.
-	late bool
+	late  bool
+	reads int
 }
 
 var errCut = errors.New("the log cannot be reached")
@@ -51,7 +52,16 @@
 	return int64(len(l.records)), nil
 }
 
+func (l *memoryLog) readCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
 func (l *memoryLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (sharedlog.Batch, error) {
+	l.mu.Lock()
+	l.reads++
+	l.mu.Unlock()
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		l.mu.Lock()
 		if l.cut {
@@ -128,12 +138,17 @@
 }
 
 func startLessor(t *testing.T, log *memoryLog, name string) *testLessor {
+	t.Helper()
+	return startLessorAt(t, log, name, name)
+}
+
+func startLessorAt(t *testing.T, log *memoryLog, name, address string) *testLessor {
 	t.Helper()
 	l := &testLessor{log: &cutLog{memoryLog: log}}
 	never := make(chan struct{})
 	l.Lessor = &Lessor{
 		Log: l.log, Topic: "lease", Granter: noGrants{}, Clock: clock.System{}, Table: NewTable(zap.NewNop()),
-		Instance: name, Address: name, Logger: zap.NewNop(),
+		Instance: name, Address: address, Logger: zap.NewNop(),
 		Input: func() (Input, bool) {
 			return Input{Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Usable: true, Capacity: 1}}}}, true
 		},
@@ -205,6 +220,38 @@
 	is.Equal(takes, 1)
 }
 
+// TestRestartedHolder guards against a lease that nobody holds until its holder counts
+// as silent, although a new process runs in the place of the holder.
+func TestRestartedHolder(t *testing.T) {
+	log := &memoryLog{}
+	first := startLessorAt(t, log, "first", "address")
+	await(t, "the lease is held", func() bool { held, _ := first.state(); return held })
+	first.log.set(true)
+	started := time.Now()
+	second := startLessorAt(t, log, "second", "address")
+	await(t, "the new process takes the lease", func() bool { held, _ := second.state(); return held })
+	if spent := time.Since(started); spent > ClaimAfter/2 {
+		t.Errorf("it took %s", spent)
+	}
+}
+
+// TestHolderReadsNothing guards against reads of the topic by its only writer, each of
+// which costs a call.
+func TestHolderReadsNothing(t *testing.T) {
+	log := &memoryLog{}
+	holder := startLessor(t, log, "first")
+	await(t, "the lease is held", func() bool { held, _ := holder.state(); return held })
+	await(t, "reads are paused", func() bool { return holder.pauseReads() != nil })
+	time.Sleep(ClaimAfter) // a read that is under way ends
+	before := log.readCount()
+	time.Sleep(2 * BeatInterval)
+	if n := log.readCount() - before; n > 0 {
+		t.Errorf("%d reads", n)
+	}
+	holder.log.set(true)
+	await(t, "a cut holder reads again", func() bool { return holder.pauseReads() == nil })
+}
+
 // TestStopHandsOver guards against a planned stop after which the lease is free for
 // as long as after a crash.
 func TestStopHandsOver(t *testing.T) {
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -94,17 +94,17 @@
 
 // silent reports for how long the holder wrote nothing although reads succeeded,
 // and the offset at which a claim must be made.
-func (t *Table) silent(now time.Duration) (time.Duration, int64) {
+func (t *Table) silent() (time.Duration, int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.read - t.heard, t.next
 }
 
-// lastHeard is when the newest record arrived.
-func (t *Table) lastHeard() time.Duration {
+// times returns when the newest record arrived, and when the last read was sent.
+func (t *Table) times() (heard, read time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.heard
+	return t.heard, t.read
 }
 
 // holder returns the instance that holds the lease as of the newest record.
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -62,7 +62,7 @@
 		clear(t.newest)
 		t.ring, t.floor = nil, b.Next
 	}
-	news := info.Whole
+	news := info.Whole // wakes the VMs that wait
 	for _, record := range b.Records {
 		before := t.newest[record.Key]
 		if len(record.Value) == 0 {
@@ -83,6 +83,7 @@
 		t.floor = t.ring[extra-1].Offset + 1
 		t.ring = append([]sharedlog.Record(nil), t.ring[extra:]...)
 	}
+	news = news || info.Sent > t.info.Sent
 	t.next = b.Next
 	t.info = directory.BatchInfo{Sent: max(t.info.Sent, info.Sent), Failed: info.Failed}
 	if news {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,9 +6,11 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -120,7 +122,7 @@
 	leaf := leafSink.follower(zap.NewNop())
 	client := &Client{
 		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{leaf},
-		Address: func() string { return address }, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
+		Address: func() (string, bool) { return address, false }, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
 		Now: clock.System{}.Now, Log: zap.NewNop(),
 	}
 	client.Prepare()
@@ -207,3 +209,66 @@
 	}
 	is.Equal(Parent(members, "unlisted", "d1", "a0"), "a0")
 }
+
+// TestConfirmationIsPassedOn guards against ages that add up along the tree: a VM that
+// waits hears of a confirmation at once, not after its own time.
+func TestConfirmationIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	now := clock.System{}.Now
+	cache := NewCache(now, nil)
+	cache.put("t", sharedlog.Batch{Next: 5}, directory.BatchInfo{Whole: true, Sent: now() - 3*time.Second})
+	go func() {
+		time.Sleep(pollWait / 10)
+		cache.put("t", sharedlog.Batch{Next: 5}, directory.BatchInfo{Sent: now()})
+	}()
+	started := now()
+	reply := cache.answer(context.Background(), poll{Cursors: map[string]int64{"t": 5}, WaitMs: pollWait.Milliseconds(), AgeMs: 3000})
+	is.True(now()-started < pollWait/2)
+	is.True(reply.age() < pollWait/2)
+	// A small gain does not end the wait: VMs would poll without pause.
+	cache.put("t", sharedlog.Batch{Next: 5}, directory.BatchInfo{Sent: now()})
+	started = now()
+	cache.answer(context.Background(), poll{Cursors: map[string]int64{"t": 5}, WaitMs: pollWait.Milliseconds(), AgeMs: 1})
+	is.True(now()-started >= pollWait/2)
+}
+
+// TestLogAway guards against a fleet whose VMs all keep reading a log that is away,
+// and against a VM that never tries again.
+func TestLogAway(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	f := &directory.Follower{
+		Topic: "t", Now: fake.Now, Log: zap.NewNop(), Apply: func(sharedlog.Batch, directory.BatchInfo) {},
+	}
+	c := &Client{Now: fake.Now}
+	stale := map[string]topicReply{"t": {Next: 5, AgeMs: (maxAge + time.Second).Milliseconds()}}
+	is.True(c.check(f, stale) != nil) // it may be that only the relay cannot read
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx, brokenLog{cancel, new(atomic.Int64)})
+	<-ctx.Done()
+	is.NoErr(c.check(f, stale))
+	fake.Time += 2 * probeInterval
+	is.True(c.check(f, stale) != nil)
+	is.True(c.check(f, nil) != nil)
+}
+
+// brokenLog fails each read, and ends its reader at the second one.
+type brokenLog struct {
+	end   context.CancelFunc
+	reads *atomic.Int64
+}
+
+func (b brokenLog) Append(context.Context, string, []sharedlog.Record, int64) (int64, error) {
+	return 0, errors.New("away")
+}
+
+func (b brokenLog) Read(context.Context, string, int64, time.Duration) (sharedlog.Batch, error) {
+	return sharedlog.Batch{}, errors.New("away")
+}
+
+func (b brokenLog) Newest(context.Context, string) (sharedlog.Batch, error) {
+	if b.reads.Add(1) == 2 {
+		b.end()
+	}
+	return sharedlog.Batch{}, errors.New("away")
+}
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -20,6 +20,9 @@
 const (
 	// reportInterval is the time between reports of a VM's load.
 	reportInterval = time.Second
+	// directInterval is the time between reports that a VM without a relay appends to
+	// the log, where each costs a call: less than half of the time for which they count.
+	directInterval = 2 * time.Second
 	// reportTimeout bounds the append of a report.
 	reportTimeout = 800 * time.Millisecond
 	// reportRead is the least time between reads of all reports.
@@ -39,7 +42,7 @@
 	r *Router
 
 	mu        sync.Mutex
-	reported  time.Duration // when the last report was made for the relay
+	reported  time.Duration // when the last report was made
 	passing   [][]byte      // reports of other VMs that are to be passed on
 	allocator *share.Allocator
 	weights   map[string]*keyrange.Weight
@@ -65,7 +68,7 @@
 		if c.r.stopping.Load() {
 			return
 		}
-		if c.r.relay.Active() {
+		if c.r.relay.Active() || !c.directDue() {
 			continue
 		}
 		err := c.send(ctx)
@@ -99,6 +102,22 @@
 	return append(reports, content)
 }
 
+// directDue reports whether a report is due without a relay.
+func (c *collector) directDue() bool {
+	interval := directInterval
+	if c.r.holds.Load() {
+		interval = reportInterval // it costs no call
+	}
+	now := c.r.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now-c.reported < interval-reportInterval/2 {
+		return false
+	}
+	c.reported = now
+	return true
+}
+
 // takeAll takes reports of other VMs: this VM collects them if it holds the lease,
 // else it passes them on.
 func (c *collector) takeAll(reports [][]byte) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -159,23 +159,26 @@
 	r.peers = peer.NewServer(identity, "", r.log)
 	relay.Serve(r.peers, cache, r.collector.takeAll)
 	r.relay = &relay.Client{
-		Peers: peer.NewClient(identity, ""), Followers: r.followers, Address: r.relayAddress,
+		Peers: peer.NewClient(identity, ""), Followers: r.followers, First: r.lessor.Follower(), Address: r.relayAddress,
 		Reports: r.collector.due, Now: r.clock.Now, Log: r.log,
 	}
 	r.relay.Prepare()
 }
 
-// relayAddress returns the address of the VM to poll; the holder of the lease reads
-// the log for all VMs.
-func (r *Router) relayAddress() string {
+// relayAddress returns the address of the VM to poll, if one is known; the holder of
+// the lease reads the log for all VMs.
+func (r *Router) relayAddress() (address string, self bool) {
 	current := r.table.Current()
-	if current == nil || current.Holder == "" || current.Holder == r.o.Instance || r.holds.Load() {
-		return ""
+	if r.holds.Load() || current != nil && current.Holder == r.o.Instance {
+		return "", true
+	}
+	if current == nil || current.Holder == "" || current.Address == r.o.PeerListen {
+		return "", false
 	}
 	if members := r.members.Load(); members != nil {
-		return relay.Parent(members.List, r.o.VM, r.o.Domain, current.Address)
+		return relay.Parent(members.List, r.o.VM, r.o.Domain, current.Address), false
 	}
-	return current.Address
+	return current.Address, false
 }
 
 func (r *Router) onMembers(content []byte) {
