Let the cold-start test follow counts, not the clock

Its 16 answers of 502 are the requests that ran at a backend server when it was restarted: four restarts, four slots each; the stand-in cuts them, and a request that may run once has an unknown outcome then. Change: restarts come at counts of runs; each restarted backend server must become warm again; answers other than 200 are at most those lost to restarts; no crash. The rate is BenchmarkFullLoad.

--- a/internal/dev/faults_test.go
+++ b/internal/dev/faults_test.go
@@ -55,9 +55,38 @@
 	return statuses
 }
 
+// rotaSlots is the number of requests that a backend server of rota runs at a time in
+// the example, and rotaServers the number of those backend servers.
+const (
+	rotaSlots   = 4
+	rotaServers = 4
+)
+
+// awaitState waits until a condition holds.
+func awaitState(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Minute); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Error("not within 2 min: " + what)
+			return
+		}
+	}
+}
+
+// allRuns is the number of requests that the backend servers have run.
+func allRuns(cluster *Cluster) int {
+	runs := 0
+	for _, standin := range cluster.Backends {
+		runs += len(standin.Runs())
+	}
+	return runs
+}
+
 // Guards against more load on a backend server in cold start than it bears, summed
 // over the VMs: at the start of the fleet, and after restarts without warning
-// under full load, also when the load reports say idle and warm.
+// under full load, also when the load reports say idle and warm. Load and restarts
+// follow the number of runs, not the clock: beside other work the fleet answers fewer
+// requests per second. BenchmarkFullLoad measures that rate.
 func TestColdStartUnderFullLoad(t *testing.T) {
 	for _, misleading := range []bool{false, true} {
 		t.Run(fmt.Sprintf("misleading=%t", misleading), func(t *testing.T) {
@@ -69,37 +98,61 @@
 				standin.SetFaults(backendstandin.Faults{MisreportLoad: misleading})
 			}
 			ctx, stop := context.WithCancel(t.Context())
+			lost := 0
+			before := make(map[string]int) // runs at the time of the restart
 			restarts := make(chan struct{})
 			go func() {
 				defer close(restarts)
-				time.Sleep(2 * time.Second) // until the first cold start is over
-				for i := 1; i <= 4; i++ {
-					time.Sleep(500 * time.Millisecond)
-					cluster.Backends[fmt.Sprintf("rota-%d", i)].Restart()
+				defer stop()
+				for i := 1; i <= rotaServers; i++ {
+					awaitState(t, "runs before a restart", func() bool { return allRuns(cluster) >= 500*i })
+					name := fmt.Sprintf("rota-%d", i)
+					before[name] = len(cluster.Backends[name].Runs())
+					cluster.Backends[name].Restart()
+					lost += rotaSlots
+				}
+				for name, runs := range before {
+					awaitState(t, name+" is warm again", func() bool { return len(cluster.Backends[name].Runs()) > runs+40 })
 				}
-				time.Sleep(time.Second)
-				stop()
 			}()
 			statuses := flood(ctx, cluster, "/rota/plan", 64)
 			<-restarts
-			crashes, warm := 0, 0
+			t.Logf("answers by status: %v", statuses)
 			for name, standin := range cluster.Backends {
-				crashes += standin.Crashes()
-				if standin.Crashes() > 0 {
-					t.Logf("%s fell over %d times", name, standin.Crashes())
-				}
-				if len(standin.Runs()) > 40 {
-					warm++
+				if n := standin.Crashes(); n > 0 {
+					t.Errorf("%s fell over %d times", name, n)
 				}
 			}
-			t.Logf("answers by status: %v, backend servers with more than 40 runs: %d", statuses, warm)
-			is.Equal(crashes, 0)
-			// One slot for each backend server answers 250 requests/s.
-			is.True(statuses[http.StatusOK] > 2*4*250)
+			// What ran at a restart has an unknown outcome. Nothing else fails.
+			unknown := statuses[http.StatusBadGateway]
+			is.True(unknown <= lost)
+			total := 0
+			for _, n := range statuses {
+				total += n
+			}
+			is.Equal(total-unknown, statuses[http.StatusOK])
 		})
 	}
 }
 
+// BenchmarkFullLoad measures how many requests per second the example answers.
+func BenchmarkFullLoad(b *testing.B) {
+	for range b.N {
+		cluster, err := Start(b.Context(), Options{Example: "dakar", Listen: "127.0.0.1:0", RunTime: 40 * time.Millisecond, WarmAfter: 40})
+		if err != nil {
+			b.Fatal(err)
+		}
+		ctx, stop := context.WithTimeout(b.Context(), 5*time.Second)
+		statuses := flood(ctx, cluster, "/rota/plan", 64)
+		stop()
+		b.ReportMetric(float64(statuses[http.StatusOK])/5, "answers/s")
+		http.DefaultClient.CloseIdleConnections()
+		if err := cluster.Stop(context.Background()); err != nil {
+			b.Error(err)
+		}
+	}
+}
+
 // running returns the number of requests that run at the stand-ins.
 func runningAt(cluster *Cluster) int {
 	n := 0
