Make validate reject a file without resources

Cause: an empty file passed with "valid: 0 resources" and exit 0, so a pipeline with a wrong path went on. After: exit 1 with one line; TestValidateRejectsEmptyFiles.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -190,6 +190,17 @@
 	is.Equal(out, "valid: 3 resources\n")
 }
 
+// Guards against an empty file, as after a mistyped path in a pipe, that passes as valid.
+func TestValidateRejectsEmptyFiles(t *testing.T) {
+	for _, document := range []string{"", "---\n", "# nothing but a comment\n"} {
+		is := is.New(t)
+		status, out, errs := run(t, document, "validate", "-f", "-")
+		is.Equal(status, 1)
+		is.Equal(out, "")
+		is.True(strings.Contains(errs, "holds no resources"))
+	}
+}
+
 // Guards against a table that hides the worst entry below others.
 func TestOverviewTablesListWorstFirst(t *testing.T) {
 	is := is.New(t)
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 
+	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 )
 
@@ -46,6 +47,9 @@
 	if err != nil {
 		return fail(streams, err)
 	}
+	if len(set) == 0 {
+		return fail(streams, errors.Errorf("%s holds no resources", c.file))
+	}
 	fmt.Fprintf(streams.Out, "valid: %d resources\n", len(set))
 	return subcommands.ExitSuccess
 }
