Log each change of an owner of keys, with its reason

Change: the core notes each assignment, move and freeing with owner, fence, target and reason; the holder writes them, at most 40 of a kind in a second, the rest counted. The limit of the request lines moves to linelimit and serves both.

--- a/internal/decisionlog/requests.go
+++ b/internal/decisionlog/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,14 +9,13 @@
 
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/forward"
+	"fireflyfield/internal/linelimit"
 )
 
 const (
 	// linesPerSecond bounds the lines of one kind: a refusal reason, a failure, a
 	// retry, a slow answer.
 	linesPerSecond = 8
-	// summaryInterval is the time between summaries of suppressed lines.
-	summaryInterval = 5 * time.Second
 	// sampleOneIn is the share of plain successes that is written, by request ID, so
 	// that every VM writes the same ones.
 	sampleOneIn = 64
@@ -37,26 +35,20 @@
 // forward.Observer.
 type Requests struct {
 	log    *zap.Logger
-	clock  clock.Clock
+	lines  *linelimit.Limiter
 	counts func(e *forward.Event, outcome string)
-
-	mu         sync.Mutex
-	second     time.Duration
-	written    map[string]int
-	suppressed map[string]int
-	summaryAt  time.Duration
 }
 
 // NewRequests returns an observer that also hands each event to counts.
 func NewRequests(log *zap.Logger, c clock.Clock, counts func(e *forward.Event, outcome string)) *Requests {
-	return &Requests{log: log, clock: c, counts: counts, written: make(map[string]int), suppressed: make(map[string]int)}
+	return &Requests{log: log, lines: linelimit.New(log, c.Now, linesPerSecond, "request lines suppressed"), counts: counts}
 }
 
 // Request implements forward.Observer.
 func (r *Requests) Request(e *forward.Event) {
 	kind := kindOf(e)
 	r.counts(e, outcomeOf(e))
-	if kind == kindAnswered && !sampled(e.ID) || !r.allow(kind) {
+	if kind == kindAnswered && !sampled(e.ID) || !r.lines.Allow(kind) {
 		return
 	}
 	r.log.Info("request", fields(e, kind)...)
@@ -99,38 +91,6 @@
 	return outcomeNotRun
 }
 
-// allow counts a line and reports whether it may be written.
-func (r *Requests) allow(kind string) bool {
-	now := r.clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if second := now.Truncate(time.Second); second != r.second {
-		r.second = second
-		clear(r.written)
-		r.summarize(now)
-	}
-	r.written[kind]++
-	if r.written[kind] > linesPerSecond {
-		r.suppressed[kind]++
-		return false
-	}
-	return true
-}
-
-// summarize writes the counts of suppressed lines. The caller holds the lock.
-func (r *Requests) summarize(now time.Duration) {
-	if len(r.suppressed) == 0 || now < r.summaryAt {
-		return
-	}
-	r.summaryAt = now + summaryInterval
-	list := make([]zap.Field, 0, len(r.suppressed))
-	for kind, count := range r.suppressed {
-		list = append(list, zap.Int(kind, count))
-	}
-	clear(r.suppressed)
-	r.log.Info("request lines suppressed", list...)
-}
-
 func fields(e *forward.Event, kind string) []zap.Field {
 	list := []zap.Field{
 		zap.String("request", e.ID), zap.String("kind", kind), zap.Int("status", e.Status),
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -82,9 +82,33 @@
 	unit    *unit
 }
 
+// Change is a change of a range's owner, for the log.
+type Change struct {
+	Service string
+	Range   keyrange.Range
+	Kind    ChangeKind
+	// Backend is the owner: the new one of an assigned range, the last one else.
+	Backend string
+	Fence   int64
+	// Target is the planned next owner of a moving range, if there is one.
+	Target string
+	Reason string
+}
+
+// ChangeKind says what happened to a range.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	ChangeAssigned ChangeKind = "assigned"
+	ChangeMoving   ChangeKind = "moving"
+	ChangeFreed    ChangeKind = "freed"
+)
+
 // unit is one range with its runtime state.
 type unit struct {
-	entry keyrange.Entry
+	service string
+	entry   keyrange.Entry
 	// version is the record in which the entry appeared; a grant needs it accepted.
 	version int64
 	// heldUntil is when the last lease that any backend server may have on the range
@@ -115,7 +139,8 @@
 	first map[string]*firstSeen
 	// avoid holds backend servers that could not be reached and until when they get
 	// no further keys.
-	avoid map[string]time.Duration
+	avoid   map[string]time.Duration
+	changes []Change
 }
 
 // firstSeen is the number of backend servers of a service without assignments.
@@ -144,7 +169,7 @@
 	c.fence = recorded.Fence
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
-			c.units[service] = append(c.units[service], &unit{entry: entry, heldUntil: heldUntil, uncertain: c.settled})
+			c.units[service] = append(c.units[service], &unit{service: service, entry: entry, heldUntil: heldUntil, uncertain: c.settled})
 		}
 	}
 	return c
@@ -249,7 +274,7 @@
 	if len(servers) == 0 || now < first.at+appearTime {
 		return false
 	}
-	c.units[service] = []*unit{{entry: keyrange.Entry{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}}}}
+	c.units[service] = []*unit{{service: service, entry: keyrange.Entry{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}}}}
 	c.version++
 	return true
 }
@@ -264,35 +289,53 @@
 		switch {
 		case listed && server.Started != u.entry.Started:
 			// The process that held the keys has ended.
-			c.release(u, "", 0)
+			c.release(u, "", 0, "owner restarted")
 		case !listed && occupied[u.entry.Address] > u.entry.Started:
 			// A later process has the address, so the owner's has ended.
-			c.release(u, "", 0)
+			c.release(u, "", 0, "address in use by a later process")
 		case u.entry.Moving && now >= u.heldUntil && !u.calling:
-			c.release(u, "", 0)
+			c.release(u, "", 0, "lease ended")
 		case !u.granted && now < c.avoid[u.entry.Backend] && now >= u.heldUntil && !u.calling:
-			// The owner cannot be reached and its lease has run out.
-			c.release(u, "", 0)
-		case (!listed || !server.Usable) && !u.entry.Moving:
-			c.startMove(u, "", now)
+			c.release(u, "", 0, "owner unreachable, lease ended")
+		case !listed && !u.entry.Moving:
+			c.startMove(u, "", now, "owner gone")
+		case !server.Usable && !u.entry.Moving:
+			c.startMove(u, "", now, "owner leaves")
 		}
 	}
 }
 
 // release makes a range free; heldUntil is when the last lease on it ends.
-func (c *Core) release(u *unit, handover string, heldUntil time.Duration) {
+func (c *Core) release(u *unit, handover string, heldUntil time.Duration, reason string) {
+	c.note(u, ChangeFreed, reason)
 	u.entry = keyrange.Entry{Range: u.entry.Range}
 	u.handover, u.heldUntil, u.granted = handover, heldUntil, false
 	c.changed(u)
 }
 
-func (c *Core) startMove(u *unit, target string, now time.Duration) {
+func (c *Core) startMove(u *unit, target string, now time.Duration, reason string) {
 	u.entry.Moving = true
 	u.target = target
+	c.note(u, ChangeMoving, reason)
 	u.nextCall = now
 	c.changed(u)
 }
 
+// note adds a change for the log.
+func (c *Core) note(u *unit, kind ChangeKind, reason string) {
+	c.changes = append(c.changes, Change{
+		Service: u.service, Range: u.entry.Range, Kind: kind, Backend: u.entry.Backend,
+		Fence: u.entry.Fence, Target: u.target, Reason: reason,
+	})
+}
+
+// TakeChanges returns the changes of owners since the last call.
+func (c *Core) TakeChanges() []Change {
+	changes := c.changes
+	c.changes = nil
+	return changes
+}
+
 func (c *Core) changed(u *unit) {
 	c.version++
 	u.version = c.version
@@ -329,6 +372,7 @@
 	u.entry.Backend, u.entry.Address, u.entry.Started = server.ID, server.Address, server.Started
 	u.entry.Fence, u.entry.Moving = c.fence, false
 	u.granted, u.target, u.nextCall = false, "", 0
+	c.note(u, ChangeAssigned, "")
 	c.changed(u)
 }
 
@@ -421,7 +465,7 @@
 		}
 		for _, u := range c.units[service] {
 			if u.entry.Range.Contains(move.Range.First) && !u.entry.Moving {
-				c.startMove(c.carve(service, u, move.Range), move.To, now)
+				c.startMove(c.carve(service, u, move.Range), move.To, now, "balance")
 				break
 			}
 		}
@@ -506,7 +550,7 @@
 	if errors.Is(err, ErrOtherInstance) {
 		// The owner's process has ended, and with it every lease that it had.
 		c.avoid[u.entry.Backend] = now + avoidFor
-		c.release(u, "", 0)
+		c.release(u, "", 0, "owner restarted")
 		return
 	}
 	if call.Kind == CallRelease {
@@ -577,5 +621,5 @@
 		u.nextCall = now + releaseRetry
 		return
 	}
-	c.release(u, handover, u.uncertain)
+	c.release(u, handover, u.uncertain, "released")
 }
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -13,6 +13,7 @@
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/linelimit"
 	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/sharedlog"
 )
@@ -34,6 +35,9 @@
 	// releaseTimeout bounds a release call, which is answered when the work that
 	// runs on the range has ended.
 	releaseTimeout = 1600 * time.Millisecond
+	// changeLines bounds the log lines about changes of owners, for each kind of change
+	// in a second: a plan moves up to a third of the backend servers' number of ranges.
+	changeLines = 40
 	// appendRetry is the time between attempts to append while the log fails.
 	appendRetry = 250 * time.Millisecond
 )
@@ -73,6 +77,7 @@
 	stopped   chan struct{}
 	claimFrom time.Duration
 	follower  *directory.Follower
+	lines     *linelimit.Limiter
 	// paused is set while the topic is not read; its channel is closed at the end.
 	paused atomic.Pointer[chan struct{}]
 	// deposedAt is the offset after the record by which another VM took the lease.
@@ -181,7 +186,10 @@
 }
 
 // Prepare must be called before Run and Stop.
-func (l *Lessor) Prepare() { l.stopping = make(chan struct{}) }
+func (l *Lessor) Prepare() {
+	l.stopping = make(chan struct{})
+	l.lines = linelimit.New(l.Logger, l.Clock.Now, changeLines, "key range lines suppressed")
+}
 
 // Stop gives the lease back, so that another VM takes it at once.
 func (l *Lessor) Stop() { close(l.stopping) }
@@ -226,6 +234,27 @@
 			zap.Stringer("range", r.call.Grant.Range), zap.Int64("fence", r.call.Grant.Fence), logfield.Error(r.err))
 	}
 	l.held.core.Done(r.call, r.handover, r.err, now)
+	l.logChanges()
+}
+
+// logChanges writes a line for each change of an owner.
+func (l *Lessor) logChanges() {
+	for _, change := range l.held.core.TakeChanges() {
+		if !l.lines.Allow(string(change.Kind)) {
+			continue
+		}
+		list := []zap.Field{
+			zap.String("service", change.Service), zap.Stringer("range", change.Range), zap.String("backend", change.Backend),
+			zap.Int64("fence", change.Fence), zap.Int64("version", l.held.core.Version()),
+		}
+		if change.Target != "" {
+			list = append(list, zap.String("target", change.Target))
+		}
+		if change.Reason != "" {
+			list = append(list, zap.String("reason", change.Reason))
+		}
+		l.Logger.Info("key range "+string(change.Kind), list...)
+	}
 }
 
 func (l *Lessor) step(ctx context.Context) {
@@ -260,6 +289,7 @@
 		for _, call := range h.core.Step(now, in) {
 			l.send(ctx, call)
 		}
+		l.logChanges()
 	}
 	due := now >= h.nextBeat || h.core.Version() > h.core.accepted
 	if due && !h.appending && now >= h.nextTry {
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -324,3 +324,34 @@
 		}
 	}
 }
+
+// TestChangesAreLogged guards against a change of an owner without its line: the trace of
+// a key that two servers ran begins with who got it when, and why.
+func TestChangesAreLogged(t *testing.T) {
+	is := is.New(t)
+	server := func(id string, usable bool) Server {
+		return Server{ID: id, Address: id, Started: 1, Usable: usable, Capacity: 4}
+	}
+	core := NewCore("vm", nil, 0, true)
+	kinds := make(map[ChangeKind]string)
+	step := func(now time.Duration, servers ...Server) {
+		for _, call := range core.Step(now, Input{Servers: map[string][]Server{"s": servers}}) {
+			core.Done(call, "", nil, now)
+		}
+		core.Accepted(core.Version())
+		for _, change := range core.TakeChanges() {
+			is.Equal(change.Service, "s")
+			kinds[change.Kind] += change.Backend + " " + change.Reason + ";"
+		}
+	}
+	for now := time.Duration(0); now < 2*time.Second; now += 100 * time.Millisecond {
+		step(now, server("a", true))
+	}
+	is.Equal(kinds[ChangeAssigned], "a ;")
+	for now := 2 * time.Second; now < 3*time.Second; now += 100 * time.Millisecond {
+		step(now, server("a", false), server("b", true))
+	}
+	is.Equal(kinds[ChangeMoving], "a owner leaves;")
+	is.Equal(kinds[ChangeFreed], "a released;")
+	is.Equal(kinds[ChangeAssigned], "a ;b ;")
+}
--- a/internal/keylease/world_test.go
+++ b/internal/keylease/world_test.go
@@ -47,8 +47,8 @@
 	deposed []deposedCore
 	pending []pendingCall
 	events  []string
-	tokens  map[int]int64 // highest token with which a worker had a part
-	owners  map[int]string
+	tokens  [keyrange.Parts]int64 // highest token with which a worker had a part
+	owners  [keyrange.Parts]string
 }
 
 type deposedCore struct {
@@ -77,7 +77,7 @@
 )
 
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), tokens: make(map[int]int64), owners: make(map[int]string)}
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1))}
 	for range 5 {
 		w.addWorker()
 	}
--- a/internal/keyrange/plan_test.go
+++ b/internal/keyrange/plan_test.go
@@ -188,3 +188,34 @@
 		t.Errorf("%d of 10 plans moved keys; ranges %d before, %d after", moved, before, len(s.entries))
 	}
 }
+
+// TestHotKeyRests guards against a key that is too hot for any backend server and moves
+// on and on; its requests fail while it moves. It belongs to one of the fastest.
+func TestHotKeyRests(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSpace(seed, 108)
+		s.spread(640, 0.44)
+		s.heat(0.35, 30000, 1)
+		s.second()
+		s.second()
+		before := s.owner(30000)
+		for range 8 {
+			s.second()
+		}
+		if after := s.owner(30000); after != before || after.Capacity < 1.4 {
+			t.Errorf("seed %d: the key went from %+v to %+v", seed, before, after)
+		}
+	}
+}
+
+// owner returns the backend server that owns a key.
+func (s *space) owner(key int) Server {
+	for _, entry := range s.entries {
+		for _, server := range s.servers {
+			if entry.Range.Contains(key) && server.ID == entry.Backend {
+				return server
+			}
+		}
+	}
+	return Server{}
+}
--- /dev/null
+++ b/internal/linelimit/linelimit_test.go
@@ -0,0 +1,34 @@
+package linelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"fireflyfield/internal/clock"
+)
+
+// TestLimit guards against floods of one kind that hide the others, and against lines
+// that are left out without a count.
+func TestLimit(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	core, lines := observer.New(zap.InfoLevel)
+	l := New(zap.New(core), fake.Now, 3, "left out")
+	allowed := 0
+	for range 10 {
+		if l.Allow("flood") {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 3)
+	is.True(l.Allow("rare"))
+	fake.Time += time.Second
+	is.True(l.Allow("flood"))
+	summaries := lines.FilterMessage("left out").All()
+	is.Equal(len(summaries), 1)
+	is.Equal(summaries[0].ContextMap()["flood"], int64(7))
+}
