Leave a key where it is that is too hot for any backend server

Its owner cannot be relieved by a move. Change: a range that alone exceeds the share of its target moves only if that halves its owner's burden.

--- a/internal/keyrange/plan.go
+++ b/internal/keyrange/plan.go
@@ -22,6 +22,9 @@
 	// gain bounds how busy the target of a move becomes, relative to how busy the
 	// former owner is.
 	gain = 0.8
+	// hotGain is the same for a range that alone exceeds the share of its target, such
+	// as one very busy key: it is not served for a second or two while it moves.
+	hotGain = 0.5
 	// leastPart is the least load that is worth a move, as a part of what is wanted.
 	leastPart = 0.2
 	// orphanPieces is the largest number of pieces into which a range without an owner
@@ -193,7 +196,8 @@
 // wanted returns the bounds of a piece that relieves one backend server and leaves
 // the other one less busy than the first is now.
 func (p *Planner) wanted(from, to string) bounds {
-	most := gain*p.relative(from)*p.share[to] - p.load[to]
+	relieved := p.relative(from) * p.share[to]
+	most := max(min(gain*relieved-p.load[to], p.share[to]), hotGain*relieved-p.load[to])
 	wanted := min(p.load[from]-p.share[from], max(p.share[to]-p.load[to], leastPart*p.share[to]))
 	return bounds{least: leastPart * min(wanted, p.share[to]), wanted: min(wanted, most), most: most}
 }
