Count the time of lapsed entries from the outage of the log

Reads of the log had failed for the lease holder until 17.95 s (the store turned it away), so all VMs took the removal for a lapse and kept the server for 2.2 s from there: requests reached it 2,615 and 2,728 ms after its leaving, where 2,500 are allowed. Ruled out: old knowledge in the relay tree; all VMs had the removal within 0.52 s. Change: the time of a lapsed entry runs from the last failed read; after it the server gets no request, also before the next batch of the catalogue removes it.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -64,8 +64,8 @@
 	fleet.Backend
 	// ColdUntil is the reading of the clock at which the backend server is warm.
 	ColdUntil time.Duration
-	// Lapsed is when an entry that was removed around an outage of the log counts as
-	// gone; 0 for a present entry.
+	// Lapsed is the reading of the clock at which an entry that was removed around an
+	// outage of the log counts as gone; 0 for a present entry.
 	Lapsed time.Duration
 	// Updated is when the last entry arrived.
 	Updated time.Duration
@@ -75,12 +75,11 @@
 func (v *View) Usable(b *Backend) bool { return !b.Draining && !v.Evacuated[b.Domain] }
 
 const (
-	// returnGrace is how long entries that lapsed while the log was away may be
-	// missing after its return: the platform states about 2 s.
+	// returnGrace is how long after the last failed read of the log entries may be missing
+	// that lapsed while it was away: the platform states about 2 s after its return. It
+	// runs from the failed read and not from the removal, since a backend server that
+	// leaves in that time must get no request 2.5 s later.
 	returnGrace = 2200 * time.Millisecond
-	// outageMemory is how long after the last failed read a removal still counts as
-	// an effect of the outage.
-	outageMemory = 2500 * time.Millisecond
 	// coldMargin is added to the remaining cold time, for the delay of the entry.
 	coldMargin = 200 * time.Millisecond
 	// evacuationCold is how long backend servers of a failure domain count as cold
@@ -262,9 +261,9 @@
 	}
 	// An entry may lapse because the log was away; the backend server then writes
 	// again within returnGrace.
-	if d.failedAt != 0 && now-d.failedAt < outageMemory && !known.Draining {
+	if d.failedAt != 0 && now-d.failedAt < returnGrace && !known.Draining {
 		if known.Lapsed == 0 {
-			known.Lapsed = now + returnGrace
+			known.Lapsed = d.failedAt + returnGrace
 			d.backends[id] = known
 			d.log.Info("entry of a backend server lapsed around an outage of the log", zap.String("backend", id))
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -75,6 +75,25 @@
 	is.Equal(len(d.View().Backends), 0)
 }
 
+// TestLeavingAfterOutage guards against a backend server that leaves just after an outage
+// of the log and is taken for one whose entry lapsed: it gets requests for longer than
+// 2.5 s. Seen on grown tropa-central, trouble-1.
+func TestLeavingAfterOutage(t *testing.T) {
+	is := is.New(t)
+	d, fake, f := build()
+	deliver(f[1], BatchInfo{Whole: true}, record("b", "n"))
+	failed := fake.Time
+	deliver(f[1], BatchInfo{Failed: failed})
+	fake.Time += 1200 * time.Millisecond
+	deliver(f[1], BatchInfo{Failed: failed}, record("b", ""))
+	lapsed := d.View().Backends["b"].Lapsed
+	is.True(lapsed > fake.Time)           // it may have lapsed in the outage
+	is.True(lapsed <= failed+returnGrace) // but its time runs from the outage
+	fake.Time = failed + returnGrace
+	deliver(f[1], BatchInfo{Failed: failed})
+	is.Equal(len(d.View().Backends), 0)
+}
+
 // TestConfigurationNeverReverts guards against an older version that arrives late.
 func TestConfigurationNeverReverts(t *testing.T) {
 	is := is.New(t)
--- a/internal/forward/queue_test.go
+++ b/internal/forward/queue_test.go
@@ -160,3 +160,20 @@
 	is.Equal(latencies[0].Sum, float32(1))
 	is.Equal(len(m.TakeLatencies(func(string) bool { return true })), 0)
 }
+
+// TestLapsedServerGetsNothing guards against requests to a backend server whose entry
+// counts as gone by now, until the next batch of the catalogue says so.
+func TestLapsedServerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	m := newOwnerModel(530)
+	b := m.view.Backends["b"]
+	b.Lapsed = m.clock.Time + time.Second
+	m.view.Backends["b"] = b
+	_, placed, _ := m.ask(1, time.Second)
+	m.end(placed)
+	m.clock.Time += time.Second
+	_, _, reason := m.ask(1, time.Second)
+	is.Equal(reason, pickNoServer)
+	_, picked := m.pick(m.view, m.service, nil, time.Millisecond, time.Second)
+	is.Equal(picked, pickNoServer)
+}
