Count requests of all VMs exactly for shares; bound the age of knowledge

Change: VMs report counts of requests; the floor of a burst follows the callers' VMs with an overlap of 6, and is 2 beyond the rate. Also: relays' knowledge is taken up to 1.5 s of age instead of 2 s; with a poll that fails it stayed usable for 2.95 s, over the 2.5 s in which a leaving server must be left alone (TestAgeBound).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,8 +28,10 @@
 	pollMargin = 350 * time.Millisecond
 	// maxPollBytes bounds a poll, which carries a report of load.
 	maxPollBytes = 256 << 10
-	// maxAge is the age of a relay's knowledge above which a VM reads the log itself.
-	maxAge = 2000 * time.Millisecond
+	// maxAge is the age of a relay's knowledge above which a VM reads the log itself. With
+	// a poll that fails after pollWait and pollMargin, what a VM knows stays younger than
+	// the 2.5 s within which a backend server that leaves must get no more requests.
+	maxAge = 1500 * time.Millisecond
 	// retryAfter is the time without polls after a relay failed, and addressPause the
 	// time between looks for the address of one.
 	retryAfter   = time.Second
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -272,3 +272,12 @@
 	}
 	return sharedlog.Batch{}, errors.New("away")
 }
+
+// TestAgeBound guards against a VM that still uses what it learned before its relay
+// froze when a backend server that left must get no more requests.
+func TestAgeBound(t *testing.T) {
+	const drainWithin, ownRead = 2500 * time.Millisecond, 100 * time.Millisecond
+	if age := maxAge + pollWait + pollMargin + ownRead; age > drainWithin {
+		t.Errorf("knowledge may be %s old", age)
+	}
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -38,15 +38,23 @@
 	minBurst = 1
 	// callersAt is the least number of VMs at which a workspace of a large fleet is taken
 	// to have callers: a VM's burst is at least that part of the whole, but no more than
-	// smallBurst requests, whatever its share.
-	smallBurst = 4
-	callersAt  = 10
+	// smallBurst requests, whatever its share, and overBurst beyond the rate, where less
+	// would leave much of the rate unused.
+	// The bursts of all VMs may be burstOverlap times the whole together, since callers
+	// that send at random rarely use them at the same time.
+	smallBurst   = 4
+	overBurst    = 2
+	callersAt    = 10
+	burstOverlap = 6
 	// maxWait is how long a request of a workspace inside its rate waits for its VM's
 	// share: about as long as a refused caller waits until it returns.
 	maxWait = 400 * time.Millisecond
-	// spentLife is the time constant of the requests that were let through, by which the
-	// shares make up for a surge that came before they could follow: half a window.
-	spentLife = 2500 * time.Millisecond
+	// recentLife is the time constant of the requests of all VMs, by which the shares make
+	// up for a surge that came before they could follow: about their delay.
+	recentLife = 1500 * time.Millisecond
+	// chance is the number of standard deviations above the rate from which on a count
+	// says that callers ask for more than the rate.
+	chance = 2
 	// leastFactor is the least part of a rate that is divided after a surge.
 	leastFactor = 0.2
 	// maxRetryAfter bounds the time after which a refused caller may come back.
@@ -87,14 +95,19 @@
 	List  []Member `cbor:"2,keyasint"`
 }
 
+// Counts are numbers of requests.
+type Counts struct {
+	Asked  int `cbor:"1,keyasint"`
+	Passed int `cbor:"2,keyasint,omitempty"` // let through
+}
+
 // Report is what one VM tells about its load.
 type Report struct {
 	Member Member `cbor:"1,keyasint"`
 	// Demand is the number of requests per second by workspace, refused ones included.
 	Demand map[string]float32 `cbor:"2,keyasint,omitempty"`
-	// Passed is the number of requests that were let through since the last report, by
-	// workspace.
-	Passed map[string]int `cbor:"5,keyasint,omitempty"`
+	// Counts are the requests since the last report, by workspace.
+	Counts map[string]Counts `cbor:"5,keyasint,omitempty"`
 	// Keys are the requests of keyed services by key since the last report.
 	Keys map[string][]KeyCount `cbor:"3,keyasint,omitempty"`
 	// Latencies are those at backend servers of keyed services since the last report.
@@ -137,16 +150,20 @@
 type Allocator struct {
 	reports map[string]*received
 	members Members
-	spent   map[string]*spending
+	recent  map[string]*recent
 }
 
-// spending is the decaying number of requests of a workspace that were let through.
-type spending struct {
-	count float64
-	at    time.Duration
+// recent are the decaying numbers of requests of a workspace at all VMs. Unlike the sum
+// of the demands that the VMs estimate, they are exact.
+type recent struct {
+	asked, passed float64
+	at            time.Duration
 }
 
-func (s *spending) left(now time.Duration) float64 { return s.count * decay(now-s.at, spentLife) }
+func (r *recent) add(c Counts, now time.Duration) {
+	left := decay(now-r.at, recentLife)
+	r.asked, r.passed, r.at = r.asked*left+float64(c.Asked), r.passed*left+float64(c.Passed), now
+}
 
 type received struct {
 	report Report
@@ -155,7 +172,7 @@
 
 // NewAllocator returns an allocator without reports.
 func NewAllocator() *Allocator {
-	return &Allocator{reports: make(map[string]*received), spent: make(map[string]*spending)}
+	return &Allocator{reports: make(map[string]*received), recent: make(map[string]*recent)}
 }
 
 // Seed takes over the members and shares of an earlier allocator, until the VMs
@@ -176,25 +193,28 @@
 // Observe takes the newest report of a VM.
 func (a *Allocator) Observe(report Report, now time.Duration) {
 	a.reports[report.Member.VM] = &received{report: report, at: now}
-	for workspace, count := range report.Passed {
-		s := a.spent[workspace]
-		if s == nil {
-			s = &spending{at: now}
-			a.spent[workspace] = s
+	for workspace, counts := range report.Counts {
+		r := a.recent[workspace]
+		if r == nil {
+			r = &recent{at: now}
+			a.recent[workspace] = r
 		}
-		s.count, s.at = s.left(now)+float64(count), now
+		r.add(counts, now)
 	}
 }
 
-// factor is the part of a workspace's rate that is divided now. It is less than 1 after
-// more requests were let through than rate and burst allow.
-func (a *Allocator) factor(w *fleet.Workspace, now time.Duration) float64 {
-	s := a.spent[w.Name]
-	if s == nil {
-		return 1
+// factor is the part of a workspace's rate that is divided now, which is less than 1 after
+// more requests were let through than rate and burst allow, and whether its callers ask
+// for more than the rate.
+func (a *Allocator) factor(w *fleet.Workspace, now time.Duration) (factor float64, over bool) {
+	r := a.recent[w.Name]
+	if r == nil {
+		return 1, false
 	}
-	usual := w.Rate * spentLife.Seconds()
-	return min(1, max(leastFactor, 1-(s.left(now)-usual-w.Burst)/usual))
+	left := decay(now-r.at, recentLife)
+	usual := w.Rate * recentLife.Seconds()
+	factor = min(1, max(leastFactor, 1-(left*r.passed-usual-w.Burst)/usual))
+	return factor, factor < 1 || left*r.asked > usual+chance*math.Sqrt(usual)
 }
 
 // Forget drops the report of a VM that stopped.
@@ -233,11 +253,11 @@
 		if active := countActive(demands); active > callersAt {
 			allotment.Active[w.Name] = active
 		}
-		factor := a.factor(w, now)
+		factor, over := a.factor(w, now)
 		if shares := divide(w.Rate, factor, demands, total); shares != nil {
 			allotment.Shares[w.Name] = shares
 		}
-		if factor < 1 || total > w.Rate {
+		if over {
 			allotment.Over = append(allotment.Over, w.Name)
 		}
 	}
@@ -304,7 +324,7 @@
 	index     int // of this VM among the members; -1 if it is not listed
 	buckets   map[string]*bucket
 	demand    map[string]*meter
-	passed    map[string]int // requests let through since the last TakePassed
+	counts    map[string]Counts // since the last TakeCounts
 }
 
 type bucket struct {
@@ -333,7 +353,7 @@
 
 // NewLimiter returns the limiter of a VM.
 func NewLimiter(vm string, tolerance Tolerance) *Limiter {
-	return &Limiter{vm: vm, tolerance: tolerance, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter), passed: make(map[string]int)}
+	return &Limiter{vm: vm, tolerance: tolerance, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter), counts: make(map[string]Counts)}
 }
 
 // SetTolerance replaces the tolerance.
@@ -418,7 +438,18 @@
 	if w.Rate <= 0 {
 		return Decision{OK: true}
 	}
-	d := Decision{}
+	counts := l.counts[w.Name]
+	counts.Asked++
+	d := l.decide(w, now, patience)
+	if d.OK {
+		counts.Passed++
+	}
+	l.counts[w.Name] = counts
+	return d
+}
+
+// decide takes a token out of the workspace's bucket. The caller holds the lock.
+func (l *Limiter) decide(w *fleet.Workspace, now, patience time.Duration) (d Decision) {
 	d.Rate, d.Burst = l.limit(w)
 	b := l.buckets[w.Name]
 	if b == nil {
@@ -434,7 +465,6 @@
 		}
 	}
 	b.tokens--
-	l.passed[w.Name]++
 	d.OK = true
 	return d
 }
@@ -450,22 +480,22 @@
 	extra := l.tolerance.Factor*(w.Rate*l.tolerance.Window.Seconds()+w.Burst) + l.tolerance.Slack
 	extra *= toleranceUsed
 	whole := w.Burst + extra
-	burst = max(minBurst, whole*share)
-	if !l.over(w.Name) {
-		callers := max(l.allotment.Active[w.Name], min(l.count(), callersAt))
-		burst = max(burst, min(smallBurst, whole/float64(callers)))
+	callers := max(l.allotment.Active[w.Name], min(l.count(), callersAt))
+	least := float64(smallBurst)
+	if l.over(w.Name) {
+		least = overBurst
 	}
+	burst = max(minBurst, whole*share, min(least, burstOverlap*whole/float64(callers)))
 	return w.Rate * share, burst
 }
 
-// TakePassed returns the requests that were let through since the last call, by
-// workspace.
-func (l *Limiter) TakePassed() map[string]int {
+// TakeCounts returns the requests since the last call, by workspace.
+func (l *Limiter) TakeCounts() map[string]Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	passed := l.passed
-	l.passed = make(map[string]int)
-	return passed
+	counts := l.counts
+	l.counts = make(map[string]Counts)
+	return counts
 }
 
 // Return gives back a request that did not run.
