Build the lessor with a constructor, read the topic again after one late beat

The holder now reads its topic again when its appends are not accepted for 1 s, before the other VMs stop taking its word at 1.5 s.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -49,7 +49,7 @@
 		f.countKey(name, fl.call.Key)
 	}
 	for number := 1; ; number++ {
-		if ctx.Err() != nil && !fl.sent {
+		if ctx.Err() != nil && fl.runs == 0 {
 			return f.refuse(fl, http.StatusServiceUnavailable, "caller-left")
 		}
 		answer, retriable := f.attempt(ctx, attempts, fl)
@@ -235,7 +235,7 @@
 		return nil, true
 	case upstream.FateUnknown:
 		event.Detail = result.Err.Error()
-		fl.sent, fl.unknown = true, true
+		fl.unknown = true
 		switch {
 		case ctx.Err() != nil:
 			f.Servers.ended(b, fl.service, func(now time.Duration) { b.result(now >= fl.deadline, now) })
@@ -278,7 +278,6 @@
 		fl.runs--
 		return f.notRun(fl, parsed)
 	}
-	fl.sent = true
 	if !parsed.Signed && response.Status < http.StatusMultipleChoices {
 		event.Detail = "response without signature"
 		fl.unknown = true
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -96,8 +96,6 @@
 	tried    []string
 	// sends counts the sends to backend servers; runs those of them that may have run.
 	sends, runs int
-	// sent tells that a backend server may have received the request.
-	sent bool
 	// unknown tells that an attempt may have run without an answer.
 	unknown bool
 	last    *Answer // last answer of a backend server that is no success
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -23,8 +23,9 @@
 	// the holder is silent and this VM has tried to claim it.
 	idleWait = 500 * time.Millisecond
 	// ownAppends is the age of the last accepted append up to which the holder does
-	// not read the topic: two beats and an append that takes 100 times as long.
-	ownAppends = 1800 * time.Millisecond
+	// not read the topic: one beat and an append that takes 100 times as long. VMs do not
+	// take knowledge that is older than 1.5 s from it.
+	ownAppends = time.Second
 	// holderTick and memberTick are the times between steps without an event.
 	holderTick = 100 * time.Millisecond
 	memberTick = 250 * time.Millisecond
@@ -45,9 +46,8 @@
 // errDeposed reports that another VM holds the lease.
 var errDeposed = errors.New("another VM holds the lease on assignments")
 
-// Lessor takes the lease on assignments when it is free, and then grants key
-// ranges. Each VM runs one.
-type Lessor struct {
+// LessorOptions are the parts that a Lessor works with.
+type LessorOptions struct {
 	Log      sharedlog.Log
 	Topic    string
 	Granter  Granter
@@ -68,6 +68,12 @@
 	OnBeat, OnMembers func(content []byte)
 	// OnHold is told when this VM takes or loses the lease.
 	OnHold func(held bool)
+}
+
+// Lessor takes the lease on assignments when it is free, and then grants key
+// ranges. Each VM runs one.
+type Lessor struct {
+	LessorOptions
 
 	held      *holding
 	results   chan result
@@ -84,6 +90,16 @@
 	deposedAt int64
 }
 
+// NewLessor returns a lessor that does not hold the lease.
+func NewLessor(o LessorOptions) *Lessor {
+	l := &Lessor{
+		LessorOptions: o, stopping: make(chan struct{}),
+		lines: linelimit.New(o.Logger, o.Clock.Now, changeLines, "key range lines suppressed"),
+	}
+	l.follower = l.newFollower()
+	return l
+}
+
 // holding is the state while this VM holds the lease.
 type holding struct {
 	core      *Core
@@ -141,12 +157,7 @@
 }
 
 // Follower returns the follower of the topic.
-func (l *Lessor) Follower() *directory.Follower {
-	if l.follower == nil {
-		l.follower = l.newFollower()
-	}
-	return l.follower
-}
+func (l *Lessor) Follower() *directory.Follower { return l.follower }
 
 func (l *Lessor) newFollower() *directory.Follower {
 	return &directory.Follower{
@@ -185,12 +196,6 @@
 	close(*l.paused.Swap(nil))
 }
 
-// Prepare must be called before Run and Stop.
-func (l *Lessor) Prepare() {
-	l.stopping = make(chan struct{})
-	l.lines = linelimit.New(l.Logger, l.Clock.Now, changeLines, "key range lines suppressed")
-}
-
 // Stop gives the lease back, so that another VM takes it at once.
 func (l *Lessor) Stop() { close(l.stopping) }
 
@@ -417,9 +422,8 @@
 	if a.end != a.at+int64(len(a.records)) {
 		return // others appended too; a read tells what
 	}
-	follower := l.Follower()
-	follower.Appended(a.records, a.at, a.sent)
-	if follower.Cursor() == a.end {
+	l.follower.Appended(a.records, a.at, a.sent)
+	if l.follower.Cursor() == a.end {
 		l.setPaused(true)
 	}
 }
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -146,7 +146,7 @@
 	t.Helper()
 	l := &testLessor{log: &cutLog{memoryLog: log}}
 	never := make(chan struct{})
-	l.Lessor = &Lessor{
+	l.Lessor = NewLessor(LessorOptions{
 		Log: l.log, Topic: "lease", Granter: noGrants{}, Clock: clock.System{}, Table: NewTable(zap.NewNop()),
 		Instance: name, Address: address, Logger: zap.NewNop(),
 		Input: func() (Input, bool) {
@@ -163,8 +163,7 @@
 				l.takes++
 			}
 		},
-	}
-	l.Prepare()
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go l.Follower().Run(ctx, l.log)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -132,12 +132,11 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	r.collector = newCollector(r)
-	r.lessor = &keylease.Lessor{
+	r.lessor = keylease.NewLessor(keylease.LessorOptions{
 		Log: o.Log, Topic: o.LeaseTopic, Granter: o.Granter, Clock: r.clock, Table: r.table,
 		Instance: o.Instance, Address: o.PeerListen, Logger: r.log, Input: r.collector.input, Wake: r.directory.Changed,
 		Notices: r.collector.notices, OnBeat: r.onBeat, OnMembers: r.onMembers, OnHold: r.onHold,
-	}
-	r.lessor.Prepare()
+	})
 	r.buildRelay()
 	r.front = &front.Server{
 		Handler: r.forwarder, Clock: r.clock, Log: r.log, Limits: r.limits, MaxConnections: o.MaxConnections,
