Spread the first requests to a cold backend server, wait longer for a refused owner

All ten VMs sent their first request when the server was listed and the next 1.03 s later; the first ones wait for their connection, so both come into one second. A process that restarts also forgets what it sent. Change: the first request of each VM comes at a random time of its spacing, and not within a window of the start of its process. TestColdLimit has connections that take 60 ms and VMs that are killed and come back; it fails without the random time. Change: pauses after an owner's refusal grow from 40 ms by a factor of 8.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,9 +18,11 @@
 	// ownerWaitPart: a request waits for the owner of its key for this part of the time
 	// that it has.
 	ownerWaitPart = 3
-	// ownerPause is the time between tries at an owner that refused a key: its grant
-	// may be under way.
-	ownerPause = 40 * time.Millisecond
+	// ownerPause is the time before the second try at an owner that refused a key: its
+	// grant may be under way. Each further pause is ownerPauseFactor times as long, since
+	// its lease may have run out while the log was away.
+	ownerPause       = 40 * time.Millisecond
+	ownerPauseFactor = 8
 	// ownerTries bounds the tries at owners that refuse the key.
 	ownerTries = 3
 	// A request is sent to a second backend server after hedgeUsual times the usual
@@ -302,7 +304,8 @@
 	if fl.service.Keyed && parsed.NotOwner {
 		fl.event.Reason = "not-owner"
 		fl.tried = fl.tried[:0]
-		f.awaitOwners(fl, ownerPause)
+		f.awaitOwners(fl, min(fl.ownerPause, (fl.deadline-f.Clock.Now())/ownerWaitPart))
+		fl.ownerPause *= ownerPauseFactor
 	}
 	return nil, true
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -96,6 +96,8 @@
 	tried    []string
 	// sends counts the sends to backend servers; runs those of them that may have run.
 	sends, runs int
+	// ownerPause is the time before the next try after an owner refused the key.
+	ownerPause time.Duration
 	// unknown tells that an attempt may have run without an answer.
 	unknown bool
 	last    *Answer // last answer of a backend server that is no success
@@ -104,7 +106,7 @@
 // Handle returns the final answer to a request. ctx ends when the caller has left.
 func (f *Forwarder) Handle(ctx context.Context, r *Request) *Answer {
 	call := f.Protocol.ParseCall(r.Header)
-	fl := &flight{request: r, call: call, view: f.Directory.View()}
+	fl := &flight{request: r, call: call, view: f.Directory.View(), ownerPause: ownerPause}
 	fl.event = Event{ID: call.ID, Key: call.Key, Received: r.Received}
 	answer := f.handle(ctx, fl)
 	fl.event.Status = answer.Status
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +21,7 @@
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/fleet"
 	"fireflyfield/internal/keylease"
+	"fireflyfield/internal/keyrange"
 	"fireflyfield/internal/share"
 	"fireflyfield/internal/sharedlog"
 )
@@ -27,13 +30,17 @@
 type testProtocol struct{}
 
 func (testProtocol) ParseCall(h http.Header) Call {
-	return Call{ID: h.Get("X-Id"), TimeLeft: 2 * time.Second, CallerKey: h.Get("X-Key"), Key: NoKey}
+	call := Call{ID: h.Get("X-Id"), TimeLeft: 2 * time.Second, CallerKey: h.Get("X-Key"), Key: NoKey}
+	if number, err := strconv.Atoi(h.Get("X-Number")); err == nil {
+		call.Key = number
+	}
+	return call
 }
 
 func (testProtocol) SetAttempt(h http.Header, a AttemptHeaders) { h.Set("X-Id", a.RequestID) }
 
 func (testProtocol) ParseAnswer(status int, h http.Header) AnswerHeaders {
-	return AnswerHeaders{ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != ""}
+	return AnswerHeaders{ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", NotOwner: h.Get("X-Not-Owner") != ""}
 }
 
 func (testProtocol) SetAnswer(http.Header, string) {}
@@ -283,24 +290,44 @@
 			fake := &clock.Fake{}
 			service := &fleet.Service{Name: "s", ColdRate: 9.3}
 			const bound = 18 // 9.3 x 1.5 + 5, rounded down
+			// All VMs are killed and come back without a memory of what they sent.
+			const killed, down = 6300 * time.Millisecond, 300 * time.Millisecond
+			// The first request of a process waits for its connection.
+			const dial = 60 * time.Millisecond
 			view := &directory.View{Config: &fleet.Config{Services: []fleet.Service{*service}}, Backends: map[string]directory.Backend{
 				"b": {Backend: fleet.Backend{ID: "b", Service: "s", Slots: 1000}, ColdUntil: 20 * time.Second},
 			}}
 			view.Config.Index()
-			var all []*Servers
-			for i := range vms {
-				all = append(all, NewServers(fake, "d", ColdLimits{Factor: 1.5, Slack: 5}, testProtocol{},
-					rand.New(rand.NewPCG(uint64(i), 3)), func() int { return vms }))
+			start := func() (all []*Servers) {
+				for i := range vms {
+					all = append(all, NewServers(fake, "d", ColdLimits{Factor: 1.5, Slack: 5}, testProtocol{},
+						rand.New(rand.NewPCG(uint64(i), 3)), func() int { return vms }))
+				}
+				return all
 			}
+			all := start()
 			var sent []time.Duration
+			connected := make(map[*Servers]bool)
 			for ; fake.Time < 20*time.Second; fake.Time += 5 * time.Millisecond {
+				if fake.Time == killed+down {
+					all = start()
+				}
 				for _, s := range all {
+					if fake.Time >= killed && fake.Time < killed+down {
+						continue
+					}
 					if b, _ := s.pick(view, service, nil, time.Millisecond, time.Second); b != nil {
-						sent = append(sent, fake.Time)
+						at := fake.Time
+						if !connected[s] {
+							at += dial
+							connected[s] = true
+						}
+						sent = append(sent, at)
 						s.ended(b, service, func(time.Duration) {})
 					}
 				}
 			}
+			slices.Sort(sent)
 			for first, last := 0, 0; last < len(sent); last++ {
 				for sent[last]-sent[first] >= time.Second {
 					first++
@@ -375,3 +402,32 @@
 	answer := s.admitRate(context.Background(), fl)
 	is.Equal(answer.Status, http.StatusTooManyRequests)
 }
+
+// TestOwnerWithoutLease guards against requests that use up their attempts within a tenth
+// of a second at an owner whose lease ran out while the log was away: the holder of the
+// lease on assignments renews it when the log is back.
+func TestOwnerWithoutLease(t *testing.T) {
+	is := is.New(t)
+	renewed := time.Now().Add(250 * time.Millisecond)
+	s := build(t, false, func(w http.ResponseWriter, r *http.Request) {
+		if time.Now().Before(renewed) {
+			w.Header().Set("X-Not-Owner", "1")
+			shed(w, r)
+			return
+		}
+		signed(w, r)
+	})
+	s.Directory.View().Config.Services[0].Keyed = true
+	assignment := keyrange.Assignment{Holder: "vm", Services: map[string][]keyrange.Entry{
+		"s": {{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}, Backend: "b0", Fence: 1}},
+	}}
+	content, err := assignment.Encode()
+	is.NoErr(err)
+	lessor := keylease.NewLessor(keylease.LessorOptions{Clock: clock.System{}, Table: s.Table, Logger: zap.NewNop()})
+	lessor.Follower().Deliver(sharedlog.Batch{Records: []sharedlog.Record{{Key: "assignment", Value: content}}, Next: 1}, directory.BatchInfo{Whole: true})
+	answer := s.Handle(context.Background(), &Request{
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"X-Id": {"1"}, "X-Number": {"7"}}, Received: clock.System{}.Now(),
+	})
+	is.Equal(answer.Status, http.StatusOK)
+	is.Equal((<-s.events).OwnerFence, int64(1))
+}
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -55,6 +55,7 @@
 // concurrent use; its lock comes before those of the pools.
 type Servers struct {
 	clock     clock.Clock
+	started   time.Duration // when the process began
 	domain    string
 	cold      ColdLimits
 	responder upstream.Responder
@@ -74,7 +75,7 @@
 // VMs that share cold backend servers.
 func NewServers(c clock.Clock, domain string, cold ColdLimits, responder upstream.Responder, random *rand.Rand, vms func() int) *Servers {
 	return &Servers{
-		clock: c, domain: domain, cold: cold, responder: responder, random: random, vms: vms, seed: random.Uint64(),
+		clock: c, started: c.Now(), domain: domain, cold: cold, responder: responder, random: random, vms: vms, seed: random.Uint64(),
 		byID: make(map[string]*backend), byService: make(map[string][]*backend),
 		nearOf: make(map[string][]*backend), farOf: make(map[string][]*backend),
 	}
@@ -287,12 +288,12 @@
 }
 
 // beginCold notes that a backend server turned cold. The first request of each VM
-// comes at a random time, so that not all VMs send theirs at once.
+// comes at a random time: if all sent at once, and again after a window, connections
+// that take longer the first time would bring both into one second. A process that has
+// just started waits for a window: what it sent before its restart counts too.
 func (s *Servers) beginCold(b *backend, service *fleet.Service, now time.Duration) {
-	spacing := s.coldSpacing(service)
-	if spacing > coldWindow+coldGuard {
-		b.nextCold = now + time.Duration(s.random.Float64()*float64(spacing))
-	}
+	from := max(now, s.started+coldWindow+coldGuard)
+	b.nextCold = max(b.nextCold, from+time.Duration(s.random.Float64()*float64(s.coldSpacing(service))))
 }
 
 // owner counts a request at a given backend server, for keyed services. If all places
