--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -65,6 +65,11 @@
 	}
 	c.options.Binary = binary
 	parent := c.options.Dir
+	if parent != "" {
+		if err := os.MkdirAll(parent, 0o755); err != nil {
+			return fail(streams, err)
+		}
+	}
 	if c.options.Seed == 0 {
 		c.options.Seed = uint64(time.Now().UnixNano())
 	}
