Try to give the lease back only while the log answers

Change: the holder resigns once an append was accepted after the stop began, and ends its calls then, whatever becomes of the resignation. While the log is away it goes on. Tests: TestLostResignation fails on the code before; TestStopWhileLogIsAway and TestStopHandsOver hold as they were.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -41,9 +41,6 @@
 	changeLines = 40
 	// appendRetry is the time between attempts to append while the log fails.
 	appendRetry = 250 * time.Millisecond
-	// resignRetry is the time between attempts to give the lease back while the log
-	// fails. Leases on keys are renewed in between.
-	resignRetry = RenewInterval
 )
 
 // errDeposed reports that another VM holds the lease.
@@ -111,7 +108,8 @@
 	appending bool
 	nextBeat  time.Duration
 	nextTry   time.Duration
-	members   []byte // last recorded list of members
+	stopping  time.Duration // when the VM began to stop; 0 before
+	members   []byte        // last recorded list of members
 }
 
 type result struct {
@@ -275,13 +273,25 @@
 		l.lose(errDeposed)
 		return
 	}
-	if l.isStopping() && now >= l.held.nextTry {
+	if l.isStopping() && l.logAnswers(now) {
 		l.resign(ctx)
 		return
 	}
 	l.stepHolder(ctx, now)
 }
 
+// logAnswers reports whether an append was accepted since the stop began, and makes
+// one due. A resignation that fails may have taken effect all the same, so it is not
+// tried while the log is away; nobody else can take the lease then, and the keys stay
+// served.
+func (l *Lessor) logAnswers(now time.Duration) bool {
+	h := l.held
+	if h.stopping == 0 {
+		h.stopping, h.nextBeat = now, 0
+	}
+	return h.confirmed >= h.stopping
+}
+
 // tableIsNewer reports whether the table has read past this VM's own appends.
 func (l *Lessor) tableIsNewer() bool {
 	_, next := l.Table.silent()
@@ -537,10 +547,7 @@
 		return
 	}
 	if _, err := l.Log.Append(ctx, l.Topic, []sharedlog.Record{{Key: keyAssignment, Value: content}}, h.end); err != nil {
-		// Nobody else can take the lease while the log is away: the keys stay served.
 		l.Logger.Warn("lease on assignments was not given back", logfield.Error(err))
-		h.nextTry = l.Clock.Now() + resignRetry
-		return
 	}
 	l.lose(errors.New("the VM stops"))
 }
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -303,6 +303,34 @@
 	await(t, "the lease is given back", func() bool { held, _ := holder.state(); return !held })
 }
 
+// TestLostResignation guards against a holder that goes on granting keys after its
+// resignation took effect although the call failed: its successor takes it that all
+// calls had ended before.
+func TestLostResignation(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	holder := startLessor(t, log, "first")
+	await(t, "keys are granted", func() bool { return holder.grants.n.Load() > 0 })
+	log.set(false, true)
+	holder.Stop()
+	resigned := func() bool {
+		batch, err := log.Newest(context.Background(), "lease")
+		is.NoErr(err)
+		for i := len(batch.Records) - 1; i >= 0; i-- {
+			if batch.Records[i].Key == keyAssignment {
+				a, err := keyrange.Decode(batch.Records[i].Value)
+				is.NoErr(err)
+				return a.Holder == ""
+			}
+		}
+		return false
+	}
+	await(t, "the resignation is recorded", resigned)
+	before := holder.grants.n.Load()
+	time.Sleep(2 * RenewInterval)
+	is.Equal(holder.grants.n.Load(), before)
+}
+
 // TestNewServiceWaits guards against a first backend server that gets all keys of a
 // new service.
 func TestNewServiceWaits(t *testing.T) {
