Call one piece of code where the change had written several

Read of the whole change; behaviour stays as it is. - decay.Left serves the five places that computed an exponential decay, and quota. - clock.Sleep reports whether the wait was whole, and replaces the sleeps of config, dispatch and the operators' client, which it repeated. vm keeps its own: a type of that package has the name clock. - Range.Cut serves the planner, the core and the planner's test, which cut ranges each. - The lessor encodes its record in one place instead of three. - due and directDue share their test of the last report. - Each VM built what is known of all backend servers at each step of its lessor, four times a second, to learn whether anything is known: Known answers that, Input is for the holder. - share.Limiter.Return had no caller. - waittest.Until serves the waits of two tests; limits as before.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -28,13 +28,18 @@
 	return time.Duration(ts.Nano())
 }
 
-// Sleep waits for d, or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for d, or until ctx ends. It reports whether the wait was whole.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
 
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"fireflyfield/internal/clock"
 	"fireflyfield/internal/platform"
 	"fireflyfield/internal/snapshot"
 
@@ -106,7 +107,7 @@
 			backoff = backoffMin
 			continue
 		}
-		f.sleep(ctx, f.jitter(backoff))
+		clock.Sleep(ctx, f.jitter(backoff))
 		backoff = min(2*backoff, backoffMax)
 	}
 	return ctx.Err()
@@ -154,7 +155,7 @@
 		f.Confirm(batch.Next, sent)
 	}
 	if len(batch.Records) == 0 && time.Since(sent) < readPause {
-		f.sleep(ctx, readPause)
+		clock.Sleep(ctx, readPause)
 	}
 	return nil
 }
@@ -293,12 +294,3 @@
 func (f *Follower) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(f.random.Int64N(int64(d/2)+1))
 }
-
-func (f *Follower) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/config/submit.go
+++ b/internal/config/submit.go
@@ -6,6 +6,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
 )
 
 const (
@@ -40,7 +42,7 @@
 		offset, err := f.append(ctx, data)
 		if err != nil && ctx.Err() == nil {
 			f.logger.Warn("append of a configuration change has no answer", zap.Stringer("id", record.ID), zap.Error(err))
-			f.sleep(ctx, appendPause)
+			clock.Sleep(ctx, appendPause)
 		}
 		if !f.awaitReadBack(ctx, record, offset) {
 			return Outcome{}, ErrNotKnown
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"fireflyfield/internal/backend"
 	"fireflyfield/internal/balance"
+	"fireflyfield/internal/clock"
 	"fireflyfield/internal/outcome"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/resource"
@@ -222,27 +223,13 @@
 		RetryAfter:    failure.RetryAfter,
 		OtherServer:   !r.Spec.Keyed(),
 	})
-	if decision.Verdict != retry.Again || !sleep(ctx, decision.After) {
+	if decision.Verdict != retry.Again || !clock.Sleep(ctx, decision.After) {
 		return false
 	}
 	d.retried(r.Service)
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // refuse turns the last failure into the caller's answer.
 func refuse(p *progress, failure *backend.Failure) *outcome.Refusal {
 	r := p.request
--- a/internal/forward/backend.go
+++ b/internal/forward/backend.go
@@ -1,9 +1,9 @@
 package forward
 
 import (
-	"math"
 	"time"
 
+	"fireflyfield/internal/decay"
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/upstream"
 )
@@ -69,7 +69,7 @@
 }
 
 func (b *backend) failureShare(now time.Duration) float64 {
-	return b.failures * math.Exp(-float64(now-b.failuresAt)/float64(failureLife))
+	return b.failures * decay.Left(now-b.failuresAt, failureLife)
 }
 
 // closed says why the backend server should get no request that usually takes usual
--- a/internal/forward/cost.go
+++ b/internal/forward/cost.go
@@ -1,8 +1,9 @@
 package forward
 
 import (
-	"math"
 	"time"
+
+	"fireflyfield/internal/decay"
 )
 
 const (
@@ -45,13 +46,13 @@
 
 // busy estimates the number of requests in flight.
 func (s *Standing) busy() float64 {
-	fresh := math.Exp(-float64(s.ReportAge) / float64(reportLife))
+	fresh := decay.Left(s.ReportAge, reportLife)
 	return float64(s.Own) + s.Others*fresh + s.OthersMean*(1-fresh)
 }
 
 // slowness estimates how long work takes now relative to other backend servers.
 func (s *Standing) slowness() float64 {
-	fresh := math.Exp(-float64(s.ReportAge) / float64(slownessLife))
+	fresh := decay.Left(s.ReportAge, slownessLife)
 	return s.Speed * (1 + (s.Slowness-1)*fresh)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -174,7 +174,7 @@
 	}
 	fl.event.Rate, fl.event.Burst = decision.Rate, decision.Burst
 	if decision.OK {
-		wait(ctx, decision.Wait, nil, nil)
+		clock.Sleep(ctx, decision.Wait)
 		fl.event.RateWait = f.Clock.Now() - now
 		return nil
 	}
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -417,7 +417,7 @@
 	}
 	var pieces []*unit
 	var found *unit
-	for _, part := range split(u.entry.Range, r) {
+	for _, part := range u.entry.Range.Cut(r) {
 		piece := *u
 		piece.entry.Range = part
 		piece.calling = false
@@ -432,19 +432,6 @@
 	return found
 }
 
-// split returns outer cut at the ends of inner.
-func split(outer, inner keyrange.Range) []keyrange.Range {
-	var parts []keyrange.Range
-	if inner.First > outer.First {
-		parts = append(parts, keyrange.Range{First: outer.First, Last: inner.First - 1})
-	}
-	parts = append(parts, inner)
-	if inner.Last < outer.Last {
-		parts = append(parts, keyrange.Range{First: inner.Last + 1, Last: outer.Last})
-	}
-	return parts
-}
-
 // balance starts moves that relieve busy owners.
 func (c *Core) balance(service string, servers []Server, weight *keyrange.Weight, now time.Duration) {
 	limit := keyrange.MoveLimit(len(servers), len(c.units[service])) - c.moving(service)
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -57,8 +57,10 @@
 	// Address is where other VMs reach this one.
 	Address string
 	Logger  *zap.Logger
-	// Input returns what is known of the fleet; false while nothing is.
-	Input func() (Input, bool)
+	// Known reports whether anything is known of the fleet. Each VM asks at each step.
+	Known func() bool
+	// Input returns what is known. Only the holder asks, and only if Known.
+	Input func() Input
 	// Wake returns a channel that is closed when the input changes.
 	Wake func() <-chan struct{}
 	// Notices returns the contents of the next beat and of the list of members, which
@@ -303,8 +305,8 @@
 	if now-h.confirmed > ownAppends {
 		l.setPaused(false)
 	}
-	if in, ok := l.Input(); ok && now-h.confirmed < Authority {
-		for _, call := range h.core.Step(now, in) {
+	if l.Known() && now-h.confirmed < Authority {
+		for _, call := range h.core.Step(now, l.Input()) {
 			l.send(ctx, call)
 		}
 		l.logChanges()
@@ -343,12 +345,11 @@
 	if version > h.core.accepted {
 		state := h.core.State()
 		state.Address = l.Address
-		content, err := state.Encode()
-		if err != nil {
-			l.Logger.Error("assignment cannot be encoded", logfield.Error(err))
+		record, ok := l.record("assignment", state)
+		if !ok {
 			return
 		}
-		records = append(records, sharedlog.Record{Key: keyAssignment, Value: content})
+		records = append(records, record)
 	}
 	if now >= h.nextBeat {
 		beat, members := l.Notices()
@@ -363,6 +364,16 @@
 	l.append(ctx, h, records, h.end, appended{from: h, version: version, sent: now})
 }
 
+// record returns the record of an assignment, and logs if there can be none.
+func (l *Lessor) record(what string, state *keyrange.Assignment) (sharedlog.Record, bool) {
+	content, err := state.Encode()
+	if err != nil {
+		l.Logger.Error(what+" cannot be encoded", logfield.Error(err))
+		return sharedlog.Record{}, false
+	}
+	return sharedlog.Record{Key: keyAssignment, Value: content}, true
+}
+
 // append runs one conditional append and reports its result to the loop.
 func (l *Lessor) append(ctx context.Context, h *holding, records []sharedlog.Record, at int64, a appended) {
 	a.records, a.at = records, at
@@ -451,7 +462,7 @@
 	if next == 0 && l.Table.notRead() || l.Table.unread.Load() {
 		return
 	}
-	if _, ok := l.Input(); !ok && current != nil {
+	if !l.Known() && current != nil {
 		return // a VM that knows the fleet can do more
 	}
 	free := l.free(current, silent, now)
@@ -497,13 +508,12 @@
 		state = current.Clone()
 	}
 	state.Holder, state.Address = l.Instance, l.Address
-	content, err := state.Encode()
-	if err != nil {
-		l.Logger.Error("claim cannot be encoded", logfield.Error(err))
+	record, ok := l.record("claim", state)
+	if !ok {
 		return
 	}
 	l.claiming = true
-	l.append(ctx, nil, []sharedlog.Record{{Key: keyAssignment, Value: content}}, at, appended{claim: true, sent: now})
+	l.append(ctx, nil, []sharedlog.Record{record}, at, appended{claim: true, sent: now})
 }
 
 func (l *Lessor) finishClaim(a appended) {
@@ -541,12 +551,11 @@
 	}
 	state := h.core.State()
 	state.Holder = ""
-	content, err := state.Encode()
-	if err != nil {
-		l.Logger.Error("resignation cannot be encoded", logfield.Error(err))
+	record, ok := l.record("resignation", state)
+	if !ok {
 		return
 	}
-	if _, err := l.Log.Append(ctx, l.Topic, []sharedlog.Record{{Key: keyAssignment, Value: content}}, h.end); err != nil {
+	if _, err := l.Log.Append(ctx, l.Topic, []sharedlog.Record{record}, h.end); err != nil {
 		l.Logger.Warn("lease on assignments was not given back", logfield.Error(err))
 	}
 	l.lose(errors.New("the VM stops"))
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -14,6 +14,7 @@
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/keyrange"
 	"fireflyfield/internal/sharedlog"
+	"fireflyfield/internal/waittest"
 )
 
 // memoryLog is a log of one topic that may be cut off.
@@ -155,8 +156,9 @@
 	l.Lessor = NewLessor(LessorOptions{
 		Log: l.log, Topic: "lease", Granter: l.grants, Clock: clock.System{}, Table: NewTable(zap.NewNop()),
 		Instance: name, Address: address, Logger: zap.NewNop(),
-		Input: func() (Input, bool) {
-			return Input{Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Usable: true, Capacity: 1}}}}, true
+		Known: func() bool { return true },
+		Input: func() Input {
+			return Input{Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Usable: true, Capacity: 1}}}}
 		},
 		Wake:    func() <-chan struct{} { return never },
 		Notices: func() ([]byte, []byte) { return []byte("same beat"), []byte("same members") },
@@ -185,11 +187,7 @@
 
 func await(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for end := time.Now().Add(15 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("not within 15 s: " + what)
-		}
-	}
+	waittest.Until(t, 15*time.Second, what, done)
 }
 
 // TestDeposedHolderStaysDeposed guards against a VM that takes the lease again from
--- a/internal/keyrange/keyrange.go
+++ b/internal/keyrange/keyrange.go
@@ -20,6 +20,20 @@
 // Contains reports whether the range holds the key.
 func (r Range) Contains(key int) bool { return key >= r.First && key <= r.Last }
 
+// Cut returns r cut at the ends of inner, which lies in it: what comes before inner, if
+// anything, inner, and what comes after.
+func (r Range) Cut(inner Range) []Range {
+	var parts []Range
+	if r.First < inner.First {
+		parts = append(parts, Range{r.First, inner.First - 1})
+	}
+	parts = append(parts, inner)
+	if inner.Last < r.Last {
+		parts = append(parts, Range{inner.Last + 1, r.Last})
+	}
+	return parts
+}
+
 func (r Range) String() string {
 	return strconv.Itoa(r.First) + "-" + strconv.Itoa(r.Last)
 }
--- a/internal/keyrange/plan.go
+++ b/internal/keyrange/plan.go
@@ -258,14 +258,7 @@
 
 // without returns what is left of outer, which holds inner.
 func without(outer, inner Range) []Range {
-	var left []Range
-	if outer.First < inner.First {
-		left = append(left, Range{outer.First, inner.First - 1})
-	}
-	if inner.Last < outer.Last {
-		left = append(left, Range{inner.Last + 1, outer.Last})
-	}
-	return left
+	return slices.DeleteFunc(outer.Cut(inner), func(r Range) bool { return r == inner })
 }
 
 // rangesEach is the number of ranges per backend server above which few ranges move,
--- a/internal/keyrange/plan_test.go
+++ b/internal/keyrange/plan_test.go
@@ -85,12 +85,12 @@
 			out = append(out, entry)
 			continue
 		}
-		if entry.Range.First < move.Range.First {
-			out = append(out, Entry{Range: Range{entry.Range.First, move.Range.First - 1}, Backend: entry.Backend})
-		}
-		out = append(out, Entry{Range: move.Range, Backend: move.To})
-		if move.Range.Last < entry.Range.Last {
-			out = append(out, Entry{Range: Range{move.Range.Last + 1, entry.Range.Last}, Backend: entry.Backend})
+		for _, part := range entry.Range.Cut(move.Range) {
+			owner := entry.Backend
+			if part == move.Range {
+				owner = move.To
+			}
+			out = append(out, Entry{Range: part, Backend: owner})
 		}
 	}
 	s.entries = out
--- a/internal/operator/client/watch.go
+++ b/internal/operator/client/watch.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"fireflyfield/internal/clock"
 	"fireflyfield/internal/operator/api"
 	"fireflyfield/internal/resource"
 
@@ -63,8 +64,8 @@
 			return err
 		}
 		c.next()
-		if err := pause(ctx, watchRetryDelay); err != nil {
-			return err
+		if !clock.Sleep(ctx, watchRetryDelay) {
+			return ctx.Err()
 		}
 	}
 }
@@ -73,17 +74,6 @@
 	return &watch{client: c, options: options, handle: handle, seen: make(map[resource.ID]uint64)}
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func (w *watch) path() string {
 	query := url.Values{}
 	if w.options.Kind != "" {
--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -1,8 +1,9 @@
 package quota
 
 import (
-	"math"
 	"time"
+
+	"fireflyfield/internal/decay"
 )
 
 const demandTimeConstant = 200 * time.Millisecond
@@ -15,7 +16,7 @@
 
 func (d *demand) decay(now time.Time) {
 	if elapsed := now.Sub(d.last); elapsed > 0 {
-		d.weight *= math.Exp(-elapsed.Seconds() / demandTimeConstant.Seconds())
+		d.weight *= decay.Left(elapsed, demandTimeConstant)
 		d.last = now
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/share"
 	"fireflyfield/internal/sharedlog"
+	"fireflyfield/internal/waittest"
 )
 
 // sink collects what a follower gets.
@@ -89,11 +90,7 @@
 
 func eventually(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("not within 10 s: " + what)
-		}
-	}
+	waittest.Until(t, 10*time.Second, what, done)
 }
 
 // TestRelay guards against a VM that reads the log although its relay works, that
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"fireflyfield/internal/decay"
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/fleet"
 	"fireflyfield/internal/keylease"
@@ -83,16 +83,11 @@
 // due returns the reports for the relay: those of other VMs that arrived since the
 // last call, and this VM's own if reportInterval has passed since its last one.
 func (c *collector) due() [][]byte {
-	now := c.r.clock.Now()
 	c.mu.Lock()
 	reports := c.passing
 	c.passing = nil
-	late := now-c.reported >= reportInterval
-	if late {
-		c.reported = now
-	}
 	c.mu.Unlock()
-	if !late {
+	if !c.ownDue(reportInterval) {
 		return reports
 	}
 	content, err := c.encode()
@@ -103,22 +98,28 @@
 	return append(reports, content)
 }
 
-// directDue reports whether a report is due without a relay.
-func (c *collector) directDue() bool {
-	interval := directInterval
-	if c.r.holds.Load() {
-		interval = reportInterval // it costs no call
-	}
+// ownDue reports whether this VM's last report was made at least some time ago, and
+// notes that one is made now.
+func (c *collector) ownDue(after time.Duration) bool {
 	now := c.r.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now-c.reported < interval-reportInterval/2 {
+	if now-c.reported < after {
 		return false
 	}
 	c.reported = now
 	return true
 }
 
+// directDue reports whether a report is due without a relay.
+func (c *collector) directDue() bool {
+	interval := directInterval
+	if c.r.holds.Load() {
+		interval = reportInterval // it costs no call
+	}
+	return c.ownDue(interval - reportInterval/2) // the ticker may come early
+}
+
 // takeAll takes reports of other VMs: this VM collects them if it holds the lease,
 // else it passes them on.
 func (c *collector) takeAll(reports [][]byte) {
@@ -238,7 +239,7 @@
 
 // decay lowers the loads of keys with time. The caller holds the lock.
 func (c *collector) decay(now time.Duration) {
-	left := math.Exp(-(now - c.decayed).Seconds() / weightLife.Seconds())
+	left := decay.Left(now-c.decayed, weightLife)
 	c.decayed = now
 	for _, weight := range c.weights {
 		weight.Decay(left)
@@ -283,11 +284,8 @@
 }
 
 // input returns what the holder of the lease knows of the keyed services.
-func (c *collector) input() (keylease.Input, bool) {
+func (c *collector) input() keylease.Input {
 	view := c.r.directory.View()
-	if view == nil {
-		return keylease.Input{}, false
-	}
 	in := keylease.Input{Servers: make(map[string][]keylease.Server), Weights: make(map[string]*keyrange.Weight)}
 	for _, service := range view.Config.Services {
 		if service.Keyed {
@@ -314,5 +312,5 @@
 		copied := *weight
 		in.Weights[service] = &copied
 	}
-	return in, true
+	return in
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,7 +134,7 @@
 	r.collector = newCollector(r)
 	r.lessor = keylease.NewLessor(keylease.LessorOptions{
 		Log: o.Log, Topic: o.LeaseTopic, Granter: o.Granter, Clock: r.clock, Table: r.table,
-		Instance: o.Instance, Address: o.PeerListen, Logger: r.log, Input: r.collector.input, Wake: r.directory.Changed,
+		Instance: o.Instance, Address: o.PeerListen, Logger: r.log, Known: r.known, Input: r.collector.input, Wake: r.directory.Changed,
 		Notices: r.collector.notices, OnBeat: r.onBeat, OnMembers: r.onMembers, OnHold: r.onHold,
 	})
 	r.buildRelay()
@@ -315,9 +315,12 @@
 	return mux
 }
 
+// known reports whether configuration and catalogue are known.
+func (r *Router) known() bool { return r.directory.View() != nil }
+
 // ready reports whether the VM should get new connections.
 func (r *Router) ready() bool {
-	return !r.stopping.Load() && r.directory.View() != nil && r.directory.ConfigAge() < maxReadyAge
+	return !r.stopping.Load() && r.known() && r.directory.ConfigAge() < maxReadyAge
 }
 
 func (r *Router) limits() fleet.Limits {
--- a/internal/router/speeds.go
+++ b/internal/router/speeds.go
@@ -1,9 +1,9 @@
 package router
 
 import (
-	"math"
 	"time"
 
+	"fireflyfield/internal/decay"
 	"fireflyfield/internal/share"
 )
 
@@ -46,7 +46,7 @@
 
 // left is the part of the observations that still counts.
 func (s *speed) left(now time.Duration) float64 {
-	return math.Exp(-(now - s.at).Seconds() / speedLife.Seconds())
+	return decay.Left(now-s.at, speedLife)
 }
 
 // of returns the speed of a backend server; 1 is the usual one.
--- a/internal/share/limiter.go
+++ b/internal/share/limiter.go
@@ -1,11 +1,11 @@
 package share
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"fireflyfield/internal/decay"
 	"fireflyfield/internal/fleet"
 )
 
@@ -78,18 +78,16 @@
 }
 
 func (m *meter) add(now time.Duration, n float64) {
-	m.fast = m.fast*decay(now-m.at, demandFast) + n/demandFast.Seconds()
-	m.slow = m.slow*decay(now-m.at, demandSlow) + n/demandSlow.Seconds()
+	m.fast = m.fast*decay.Left(now-m.at, demandFast) + n/demandFast.Seconds()
+	m.slow = m.slow*decay.Left(now-m.at, demandSlow) + n/demandSlow.Seconds()
 	m.at = now
 }
 
 // rate returns the greater rate.
 func (m *meter) rate(now time.Duration) float64 {
-	return max(m.fast*decay(now-m.at, demandFast), m.slow*decay(now-m.at, demandSlow))
+	return max(m.fast*decay.Left(now-m.at, demandFast), m.slow*decay.Left(now-m.at, demandSlow))
 }
 
-func decay(elapsed, life time.Duration) float64 { return math.Exp(-elapsed.Seconds() / life.Seconds()) }
-
 // NewLimiter returns the limiter of a VM.
 func NewLimiter(vm string, tolerance Tolerance) *Limiter {
 	return &Limiter{vm: vm, tolerance: tolerance, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter), counts: make(map[string]Counts)}
@@ -237,15 +235,6 @@
 	return counts
 }
 
-// Return gives back a request that did not run.
-func (l *Limiter) Return(workspace string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b := l.buckets[workspace]; b != nil {
-		b.tokens++
-	}
-}
-
 // Demand returns the requests per second by workspace.
 func (l *Limiter) Demand(now time.Duration) map[string]float32 {
 	l.mu.Lock()
