--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -91,11 +91,26 @@
 	// coldMargin is added to the remaining cold time of an entry, for its transmission
 	// delay.
 	coldMargin = 200 * time.Millisecond
+	// rewriteGrace is how long after the log was restored from an older copy an evacuation
+	// stays in force that the copy lacks: the operator writes again what was lost.
+	rewriteGrace = 10 * time.Second
+	// departedRetention is how long a removed backend server is remembered, so that an older
+	// copy of the log does not list it again. Copies are some seconds old.
+	departedRetention = time.Minute
+	// versionLag is how long the configuration may be older than the one that the lease
+	// holder has in force. Records reach all VMs within 2 s.
+	versionLag = 1500 * time.Millisecond
 	// evacuationColdPeriod is how long backend servers of a failure domain count as cold
 	// after its evacuation ends, until new entries arrive: two entry intervals.
 	evacuationColdPeriod = 2 * time.Second
 )
 
+// backendProcess identifies one process of a backend server.
+type backendProcess struct {
+	id      string
+	started int64
+}
+
 // Directory builds the newest view from the records of both topics. It is safe for
 // concurrent use. No other lock is acquired while its lock is held.
 type Directory struct {
@@ -107,9 +122,21 @@
 	config    *fleet.Config
 	evacuated map[string]bool
 	backends  map[string]Backend
-	// failedAt is when a read of the catalogue last failed; 0 means never.
-	failedAt    time.Duration
-	undecodable map[string]bool // IDs of backend servers whose entry cannot be decoded, so that it is logged once
+	// retainedUntil is the time until which an evacuation that a restored copy of the log
+	// lacks stays in force, by failure domain.
+	retainedUntil map[string]time.Duration
+	// departed are the times at which backend servers were removed.
+	departed map[backendProcess]time.Duration
+	// failedAt is when a read of the catalogue last failed or the log was restored; 0 means
+	// never.
+	failedAt time.Duration
+	// requiredVersion is the newest version of the configuration that the lease holder is
+	// known to have in force, and behindSince the time since which this VM's configuration
+	// is older; 0 if it is not.
+	requiredVersion int64
+	behindSince     time.Duration
+	configsApplied  int             // number of configurations that were in force here
+	undecodable     map[string]bool // IDs of backend servers whose entry cannot be decoded, so that it is logged once
 
 	view        atomic.Pointer[View]
 	confirmedAt atomic.Int64 // last time at which the configuration was known to be the newest, in ns
@@ -121,6 +148,7 @@
 	d := &Directory{
 		clock: c, log: log, sources: sources,
 		evacuated: make(map[string]bool), backends: make(map[string]Backend), undecodable: make(map[string]bool),
+		retainedUntil: make(map[string]time.Duration), departed: make(map[backendProcess]time.Duration),
 	}
 	d.confirmedAt.Store(int64(-time.Hour))
 	signal := make(chan struct{})
@@ -132,9 +160,47 @@
 // catalogue of the first view may be empty.
 func (d *Directory) View() *View { return d.view.Load() }
 
-// ConfigAge returns the time since the configuration was last known to be the newest.
+// ConfigAge returns the time since the configuration was last known to be the newest. A
+// configuration that is older than the one of the lease holder was never the newest since.
 func (d *Directory) ConfigAge() time.Duration {
-	return d.clock.Now() - time.Duration(d.confirmedAt.Load())
+	now := d.clock.Now()
+	if d.outdated(now) {
+		return outdatedAge
+	}
+	return now - time.Duration(d.confirmedAt.Load())
+}
+
+// outdatedAge is the age of a configuration that is known to be outdated.
+const outdatedAge = time.Hour
+
+// RequireVersion states the version of the configuration that the lease holder has in
+// force. A VM that started after the log was restored from an older copy reads an older
+// configuration, in which withdrawn caller keys may be valid.
+func (d *Directory) RequireVersion(version int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.requiredVersion = max(d.requiredVersion, version)
+	d.updateBehind()
+}
+
+// updateBehind sets behindSince when the configuration falls behind requiredVersion, and
+// clears it when the configuration has caught up. The caller holds the lock.
+func (d *Directory) updateBehind() {
+	switch {
+	case d.config == nil || d.config.Version >= d.requiredVersion:
+		d.behindSince = 0
+	case d.behindSince == 0:
+		d.behindSince = d.clock.Now()
+	}
+}
+
+// outdated reports whether the configuration has been behind that of the lease holder for
+// longer than records take to arrive. The first configuration of a process may come from
+// an old copy of the log, so it gets no such time.
+func (d *Directory) outdated(now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.behindSince != 0 && (d.configsApplied <= 1 || now-d.behindSince > versionLag)
 }
 
 // Changed returns a channel that is closed at the next change of the view.
@@ -150,25 +216,48 @@
 	close(*d.changed.Swap(&next))
 }
 
-// applyOperator applies records of the operator's topic. If snapshot is set, the records
-// are the newest ones of all keys, and evacuations without a record have ended.
-func (d *Directory) applyOperator(records []sharedlog.Record, snapshot bool) {
+// applyOperator applies records of the operator's topic. In a snapshot, evacuations
+// without a record have ended, unless the log was restored from an older copy.
+func (d *Directory) applyOperator(records []sharedlog.Record, info BatchInfo) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock.Now()
 	before := maps.Clone(d.evacuated)
-	if snapshot {
+	switch {
+	case info.Restored:
+		for domain := range d.evacuated {
+			d.retainedUntil[domain] = now + rewriteGrace
+		}
+	case info.Snapshot:
 		clear(d.evacuated)
+		clear(d.retainedUntil)
 	}
-	changed := snapshot
+	changed := d.endRetained(now) || info.Snapshot
 	for _, record := range records {
 		changed = d.applyOperatorRecord(record) || changed
 	}
+	d.updateBehind()
 	d.markColdAfterEvacuation(before)
 	if changed {
 		d.publish()
 	}
 }
 
+// endRetained ends the evacuations that the operator has not written again since the log
+// was restored, and reports whether there were any. The caller holds the lock.
+func (d *Directory) endRetained(now time.Duration) bool {
+	changed := false
+	for domain, until := range d.retainedUntil {
+		if now >= until {
+			d.log.Info("evacuation ended: the restored log does not have it", zap.String("failure_domain", domain))
+			delete(d.retainedUntil, domain)
+			delete(d.evacuated, domain)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // applyOperatorRecord applies one record and reports whether the view may have changed. The
 // caller holds the lock.
 func (d *Directory) applyOperatorRecord(record sharedlog.Record) bool {
@@ -185,8 +274,10 @@
 			zap.Int64("offset", record.Offset), zap.Int("routes", len(change.Config.Routes)),
 			zap.Int("workspaces", len(change.Config.Workspaces)))
 		d.config = change.Config
+		d.configsApplied++
 		return true
 	case change.Domain != "":
+		delete(d.retainedUntil, change.Domain)
 		if d.evacuated[change.Domain] != change.Evacuated {
 			d.log.Info("evacuation changed", zap.String("failure_domain", change.Domain), zap.Bool("evacuated", change.Evacuated))
 		}
@@ -213,20 +304,27 @@
 	}
 }
 
-// applyBackends applies records of the catalogue. If snapshot is set, backend servers
-// without a record are removed.
-func (d *Directory) applyBackends(records []sharedlog.Record, snapshot bool) {
+// applyBackends applies records of the catalogue. If it is a snapshot, backend servers
+// without a record are removed. Entries that a restored log lacks count as expired in an
+// outage: the backend servers write them again.
+func (d *Directory) applyBackends(records []sharedlog.Record, info BatchInfo) {
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changed := snapshot || len(records) > 0
+	if info.Restored {
+		d.failedAt = now
+	}
+	changed := info.Snapshot || len(records) > 0
 	seen := make(map[string]bool, len(records))
 	for _, record := range records {
 		change := d.sources.DecodeBackend(record)
 		seen[change.ID] = true
-		d.applyBackend(change, now)
+		if info.Restored && d.supersedes(&change) {
+			continue
+		}
+		d.applyBackend(change, now, info.Restored)
 	}
-	if snapshot {
+	if info.Snapshot {
 		for id := range d.backends {
 			if !seen[id] {
 				d.removeBackend(id, now)
@@ -239,9 +337,36 @@
 	}
 }
 
+// supersedes reports whether this VM knows something newer of a backend server than an
+// entry in an older copy of the log: that its process is draining or has left, or a later
+// process. The caller holds the lock.
+func (d *Directory) supersedes(change *BackendChange) bool {
+	if change.Removed || change.Err != nil {
+		return false
+	}
+	started := change.Backend.Started
+	if _, gone := d.departed[backendProcess{change.ID, started}]; gone {
+		return true
+	}
+	known, ok := d.backends[change.ID]
+	return ok && (known.Started > started || known.Started == started && known.Draining && !change.Backend.Draining)
+}
+
+// noteDeparted remembers that a process of a backend server was removed. The caller holds
+// the lock.
+func (d *Directory) noteDeparted(known *Backend, now time.Duration) {
+	for process, removedAt := range d.departed {
+		if now-removedAt > departedRetention {
+			delete(d.departed, process)
+		}
+	}
+	d.departed[backendProcess{known.ID, known.Started}] = now
+}
+
 // applyBackend applies one entry or its removal. An entry that cannot be decoded counts
-// as removed. The caller holds the lock.
-func (d *Directory) applyBackend(change BackendChange, now time.Duration) {
+// as removed. restored is set for an entry in an older copy of the log, which may lack the
+// newest cold start. The caller holds the lock.
+func (d *Directory) applyBackend(change BackendChange, now time.Duration, restored bool) {
 	if change.Removed {
 		d.removeBackend(change.ID, now)
 		return
@@ -255,11 +380,15 @@
 		return
 	}
 	delete(d.undecodable, change.ID)
+	delete(d.departed, backendProcess{change.ID, change.Backend.Started})
 	known, ok := d.backends[change.ID]
 	next := Backend{Backend: change.Backend, Updated: now}
 	if change.Backend.ColdRemaining > 0 {
 		next.ColdUntil = now + change.Backend.ColdRemaining + coldMargin
 	}
+	if restored && known.Started == next.Started {
+		next.ColdUntil = max(next.ColdUntil, known.ColdUntil)
+	}
 	d.backends[change.ID] = next
 	if !ok || known.Started != next.Started || known.Draining != next.Draining || known.Address != next.Address {
 		d.log.Info("backend server listed", zap.String("backend", change.ID), zap.String("service", next.Service),
@@ -287,6 +416,7 @@
 		return
 	}
 	delete(d.backends, id)
+	d.noteDeparted(&known, now)
 	d.log.Info("backend server gone", zap.String("backend", id), zap.String("service", known.Service))
 }
 
@@ -297,6 +427,7 @@
 	for id, backend := range d.backends {
 		if backend.ExpiresAt != 0 && now >= backend.ExpiresAt {
 			delete(d.backends, id)
+			d.noteDeparted(&backend, now)
 			d.log.Info("backend server gone after an outage of the shared log", zap.String("backend", id))
 			changed = true
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -47,11 +47,11 @@
 
 // deliver passes records to a follower with consecutive offsets from its cursor on.
 func deliver(f *Follower, info BatchInfo, records ...sharedlog.Record) {
-	next := max(0, f.Cursor())
+	next, _ := f.Cursor()
 	for i := range records {
-		records[i].Offset = next + int64(i)
+		records[i].Offset = next.Offset + int64(i)
 	}
-	f.Deliver(sharedlog.Batch{Records: records, Next: next + int64(len(records))}, info)
+	f.Deliver(sharedlog.Batch{Records: records, Era: next.Era, Next: next.Offset + int64(len(records))}, info)
 }
 
 func record(key, value string) sharedlog.Record {
@@ -130,8 +130,8 @@
 	is := is.New(t)
 	d, fake, f := newTestDirectory()
 	fake.Time += 3 * time.Second
-	f[0].Deliver(sharedlog.Batch{Next: f[0].Cursor()}, BatchInfo{ConfirmedAt: fake.Time - failedReadAge, FailedAt: fake.Time})
+	f[0].deliverFailure(fake.Time, fake.Time)
 	is.Equal(d.ConfigAge(), 3*time.Second)
-	f[0].Deliver(sharedlog.Batch{Next: f[0].Cursor()}, BatchInfo{ConfirmedAt: fake.Time - time.Second})
+	deliver(f[0], BatchInfo{ConfirmedAt: fake.Time - time.Second})
 	is.Equal(d.ConfigAge(), time.Second)
 }
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -34,7 +34,7 @@
 		{
 			Topic: d.sources.OperatorTopic, Wait: func() time.Duration { return operatorReadWait }, Log: d.log, Now: d.clock.Now,
 			Apply: func(b sharedlog.Batch, info BatchInfo) {
-				d.applyOperator(b.Records, info.Snapshot)
+				d.applyOperator(b.Records, info)
 				d.confirm(info.ConfirmedAt)
 			},
 		},
@@ -44,7 +44,7 @@
 				if info.FailedAt != 0 {
 					d.recordReadFailure(info.FailedAt)
 				}
-				d.applyBackends(b.Records, info.Snapshot)
+				d.applyBackends(b.Records, info)
 			},
 		},
 	}
@@ -65,6 +65,9 @@
 type BatchInfo struct {
 	// Snapshot is set if the batch holds the newest record of each key of the topic.
 	Snapshot bool
+	// Restored is set on the first snapshot after the log was restored from an older copy:
+	// records that were known before may be missing or older in it.
+	Restored bool
 	// ConfirmedAt is a time at which the topic held no records other than those up to the
 	// end of the batch.
 	ConfirmedAt time.Duration
@@ -92,56 +95,73 @@
 	Log   *zap.Logger
 
 	mu       sync.Mutex
-	next     int64 // offset to read from; valid if started
+	next     sharedlog.Position // position to read from; valid if started
 	started  bool
 	failedAt time.Duration // when a read last failed; 0 if none did
 	failing  bool          // whether the last read failed
 }
 
-// Cursor returns the offset of the next record to read, or -1 before the first batch.
-func (f *Follower) Cursor() int64 {
+// Cursor returns the position of the next record to read, and false before the first
+// batch.
+func (f *Follower) Cursor() (sharedlog.Position, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.started {
-		return -1
-	}
-	return f.next
+	return f.next, f.started
 }
 
-// Deliver applies a batch. A batch that ends before the cursor is ignored, and so is one that
-// is not a snapshot before the first snapshot. Unless the batch is a snapshot, its records
-// before the cursor are left out.
+// Deliver applies a batch. A batch that ends before the cursor is ignored. So is one that is
+// not a snapshot before the first snapshot, or before the first one of a new era of the log.
+// Unless the batch is a snapshot, its records before the cursor are left out.
 func (f *Follower) Deliver(batch sharedlog.Batch, info BatchInfo) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.started && batch.Next < f.next {
+	f.deliver(batch, info)
+}
+
+// deliver is Deliver with the lock held.
+func (f *Follower) deliver(batch sharedlog.Batch, info BatchInfo) {
+	next := batch.NextPosition()
+	if f.started && next.Before(f.next) {
 		return
 	}
 	if !info.Snapshot {
-		if !f.started {
+		if !f.started || next.Era > f.next.Era {
 			return
 		}
-		batch.Records = slices.DeleteFunc(batch.Records, func(r sharedlog.Record) bool { return r.Offset < f.next })
+		batch.Records = slices.DeleteFunc(batch.Records, func(r sharedlog.Record) bool { return r.Offset < f.next.Offset })
+	}
+	if f.started && next.Era > f.next.Era {
+		info.Restored = true
+		f.Log.Warn("log topic restored from an older copy", zap.String("topic", f.Topic), zap.Int64("era", next.Era),
+			zap.Int64("next", next.Offset), zap.Int64("next_before", f.next.Offset))
 	}
-	f.started, f.next = true, batch.Next
+	f.started, f.next = true, next
 	f.Apply(batch, info)
 }
 
-// DeliverAppended applies records that this process itself appended at an offset, by a
+// deliverFailure passes the time of a failed read to Apply with an empty batch, which
+// confirms nothing.
+func (f *Follower) deliverFailure(sentAt, failedAt time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deliver(sharedlog.Batch{Era: f.next.Era, Next: f.next.Offset}, BatchInfo{ConfirmedAt: sentAt - failedReadAge, FailedAt: failedAt})
+}
+
+// DeliverAppended applies records that this process itself appended at a position, by a
 // conditional append that was sent at the given time. It saves the read of these records.
 // They are ignored unless they start at the cursor.
-func (f *Follower) DeliverAppended(records []sharedlog.Record, offset int64, sentAt time.Duration) {
-	batch := sharedlog.Batch{Next: offset + int64(len(records))}
+func (f *Follower) DeliverAppended(records []sharedlog.Record, at sharedlog.Position, sentAt time.Duration) {
+	batch := sharedlog.Batch{Era: at.Era, Next: at.Offset + int64(len(records))}
 	for i, r := range records {
-		r.Offset = offset + int64(i)
+		r.Offset = at.Offset + int64(i)
 		batch.Records = append(batch.Records, r)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.started || f.next != offset {
+	if !f.started || f.next != at {
 		return
 	}
-	f.next = batch.Next
+	f.next = batch.NextPosition()
 	f.Apply(batch, BatchInfo{ConfirmedAt: sentAt, FailedAt: f.failedAt})
 }
 
@@ -174,8 +194,7 @@
 		}
 		failedAt := f.recordReadResult(err, batch.Next)
 		if err != nil {
-			// An empty batch passes the time of the failure to Apply.
-			f.Deliver(sharedlog.Batch{Next: f.Cursor()}, BatchInfo{ConfirmedAt: sentAt - failedReadAge, FailedAt: failedAt})
+			f.deliverFailure(sentAt, failedAt)
 			clock.Sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
@@ -228,12 +247,11 @@
 }
 
 // read returns the records from the cursor on. It returns a snapshot, and true, at the
-// first read and when records after the cursor were trimmed.
+// first read, when records after the cursor were trimmed and when the log was restored.
 func (f *Follower) read(ctx context.Context, log sharedlog.Log, wait time.Duration) (sharedlog.Batch, bool, error) {
-	next := f.Cursor()
-	if next >= 0 {
+	if next, started := f.Cursor(); started {
 		batch, err := log.Read(ctx, f.Topic, next, wait)
-		if !errors.Is(err, sharedlog.ErrTrimmed) {
+		if !errors.Is(err, sharedlog.ErrTrimmed) && !errors.Is(err, sharedlog.ErrRestored) {
 			return batch, false, err
 		}
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -171,7 +171,12 @@
 	go func() {
 		for range inFlight {
 			r := <-results
-			f.Servers.endRequest(r.b, service, func(time.Duration) {})
+			f.Servers.endRequest(r.b, service, func(now time.Duration) {
+				if response := r.result.Response; response != nil {
+					parsed := f.Protocol.ParseResponse(response.Status, response.Header)
+					f.Servers.applyNotices(r.b, &parsed, now)
+				}
+			})
 		}
 	}()
 }
@@ -276,6 +281,7 @@
 	failed := response.Status >= http.StatusInternalServerError
 	usualLatency := f.usualLatency(rs.route)
 	f.Servers.endRequest(b, rs.service, func(now time.Duration) {
+		f.Servers.applyNotices(b, &parsed, now)
 		if parsed.HasLoad {
 			b.applyLoad(parsed.Load, now)
 		}
@@ -343,11 +349,22 @@
 	}
 	b, reason := f.Servers.pick(f.Directory.View(), rs.service, rs.tried, f.usualLatency(rs.route), rs.deadline-f.Clock.Now())
 	if reason != pickOK {
-		return nil, f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, string(reason))
+		return nil, f.rejectUnavailable(rs, string(reason), reason, "")
 	}
 	return b, nil
 }
 
+// rejectUnavailable rejects a request for which no backend server is available. During
+// pauses the caller is told to return when the first one ends: of the whole service, or of
+// the backend server with the given ID, which is the only one that may serve the request.
+func (f *Forwarder) rejectUnavailable(rs *requestState, name string, reason pickReason, id string) *Answer {
+	answer := f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, name)
+	if reason == pickPaused {
+		answer.Header.Set("Retry-After", formatSeconds(f.Servers.shortestPause(rs.service.Name, id)+f.retryAfter()))
+	}
+	return answer
+}
+
 // chooseOwner returns the owner of the request's key with a permit for it. While the
 // key has no usable owner, its range is moving, or its owner is cold and may not yet get
 // another request, it waits for a part of the request's time left.
@@ -369,9 +386,9 @@
 			}
 		}
 		now := f.Clock.Now()
-		if now >= until || ctx.Err() != nil || reason == pickAllFull || reason == pickTooLate {
+		if now >= until || ctx.Err() != nil || reason == pickAllFull || reason == pickTooLate || reason == pickPaused {
 			rs.event.OwnerWait += now - started
-			return nil, f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "owner-"+string(reason))
+			return nil, f.rejectUnavailable(rs, "owner-"+string(reason), reason, rs.event.Owner)
 		}
 		wait(ctx, min(until-now, ownerRetryDelay), tableChanged, viewChanged)
 	}
--- a/internal/forward/backend.go
+++ b/internal/forward/backend.go
@@ -67,10 +67,11 @@
 	unreported      bool          // the last load was not yet reported to other VMs
 	nextColdRequest time.Duration // earliest time of the next request while cold
 	local           bool
-	usable          bool   // by the latest view
-	keyed           bool   // its service is keyed
-	queue           queue  // requests that wait for a permit
-	rank            uint64 // position in the order of Servers.rank
+	usable          bool    // by the latest view
+	keyed           bool    // its service is keyed
+	notice          *notice // of its process; nil if there is none
+	queue           queue   // requests that wait for a permit
+	rank            uint64  // position in the order of Servers.rank
 }
 
 // stats returns what this VM knows of the backend server at now.
@@ -93,6 +94,8 @@
 	switch {
 	case b.ExpiresAt != 0 && now >= b.ExpiresAt:
 		return pickNoServer
+	case b.remainingPause(now) > 0:
+		return pickPaused
 	case now < b.coldUntil && now < b.nextColdRequest:
 		return pickColdLimit
 	case stats.Full():
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -435,3 +435,117 @@
 	is.Equal(answer.Status, http.StatusOK)
 	is.Equal((<-s.events).OwnerFence, int64(1))
 }
+
+// noticeModel is one VM with three backend servers of an unkeyed service and one of a keyed
+// one, under a fake clock.
+type noticeModel struct {
+	*Servers
+	clock *clock.Fake
+	view  *directory.View
+}
+
+func newNoticeModel() *noticeModel {
+	m := &noticeModel{clock: &clock.Fake{Time: time.Minute}}
+	m.Servers = NewServers(m.clock, "d", ColdLimits{}, testProtocol{}, rand.New(rand.NewPCG(1, 1)), func() int { return 1 })
+	m.KeyedLeaveGrace = 2 * time.Second
+	m.view = &directory.View{
+		Config:   &fleet.Config{Services: []fleet.Service{{Name: "s"}, {Name: "k", Keyed: true}}},
+		Backends: make(map[string]directory.Backend),
+	}
+	for _, id := range []string{"s1", "s2", "s3", "k1"} {
+		m.view.Backends[id] = directory.Backend{Backend: fleet.Backend{ID: id, Service: id[:1], Domain: "d", Slots: 4, Started: 1}}
+	}
+	m.view.Config.Index()
+	return m
+}
+
+// service returns a service of the configuration.
+func (m *noticeModel) service(name string) *fleet.Service { return m.view.Config.Service(name) }
+
+// answer ends a request to the backend server with an answer that states the given notices.
+func (m *noticeModel) answer(id string, headers ResponseHeaders) {
+	b := m.byID[id]
+	b.ownInFlight++
+	m.endRequest(b, m.service(b.Service), func(now time.Duration) { m.applyNotices(b, &headers, now) })
+}
+
+// targets returns the backend servers that 100 requests of an unkeyed service go to.
+func (m *noticeModel) targets(name string) map[string]int {
+	counts := make(map[string]int)
+	for range 100 {
+		b, reason := m.pick(m.view, m.service(name), nil, 100*time.Millisecond, time.Second)
+		if b == nil {
+			counts[string(reason)]++
+			continue
+		}
+		counts[b.ID]++
+		m.endRequest(b, m.service(name), func(time.Duration) {})
+	}
+	return counts
+}
+
+// owner asks for a permit for the owner of a key.
+func (m *noticeModel) owner() pickReason {
+	w := &waiter{deadline: m.clock.Time + time.Second, ready: make(chan struct{})}
+	b, reason := m.acquireOrQueue(m.view, "k1", m.service("k"), w, 100*time.Millisecond, time.Second)
+	if b != nil {
+		m.endRequest(b, m.service("k"), func(time.Duration) {})
+	}
+	return reason
+}
+
+// A backend server that has said in an answer that it leaves must receive no further
+// request, although the catalogue lists it as ready, and even if it is unlisted for a
+// moment. The owner of keys serves them until shortly before the time is up.
+func TestLeavingServer(t *testing.T) {
+	is := is.New(t)
+	m := newNoticeModel()
+	is.Equal(len(m.targets("s")), 3)
+	m.answer("s1", ResponseHeaders{Leaving: true})
+	m.answer("k1", ResponseHeaders{Leaving: true})
+	is.Equal(m.targets("s")["s1"], 0)
+	is.Equal(m.LeavingOwners(), map[string]int64{"k1": 1})
+
+	listed := m.view
+	m.view = &directory.View{Config: listed.Config, Backends: map[string]directory.Backend{"s2": listed.Backends["s2"]}}
+	m.targets("s")
+	m.view = listed
+	is.Equal(m.targets("s")["s1"], 0)
+
+	m.clock.Time += m.KeyedLeaveGrace - leaveMargin - time.Millisecond
+	is.Equal(m.owner(), pickOK)
+	m.clock.Time += time.Millisecond
+	is.Equal(m.owner(), pickNoServer)
+
+	restarted := listed.Backends["s1"]
+	restarted.Started = 2
+	m.view = &directory.View{Config: listed.Config, Backends: map[string]directory.Backend{"s1": restarted}}
+	is.Equal(m.targets("s")["s1"], 100)
+}
+
+// During a burst a backend server that rejects requests and asks for a pause must receive
+// none until the pause ends. Requests of a service whose servers all pause must be rejected
+// at once, with the time at which the first pause ends.
+func TestPausedServers(t *testing.T) {
+	is := is.New(t)
+	m := newNoticeModel()
+	m.targets("s")
+	m.answer("s1", ResponseHeaders{NotRun: true, Pause: 2 * time.Second})
+	m.answer("s1", ResponseHeaders{NotRun: true, Pause: time.Second})
+	is.Equal(m.targets("s")["s1"], 0)
+	m.answer("s2", ResponseHeaders{NotRun: true, Pause: 3 * time.Second})
+	m.answer("s3", ResponseHeaders{NotRun: true, Pause: 4 * time.Second})
+	is.Equal(m.targets("s")[string(pickPaused)], 100)
+	is.Equal(m.shortestPause("s", ""), 2*time.Second)
+	m.clock.Time += 1500 * time.Millisecond
+	is.Equal(m.targets("s")[string(pickPaused)], 100)
+	m.clock.Time += 500 * time.Millisecond
+	is.Equal(m.targets("s")["s1"], 100)
+
+	m.owner()
+	m.answer("k1", ResponseHeaders{NotRun: true, Pause: time.Second})
+	is.Equal(m.owner(), pickPaused)
+	is.Equal(m.shortestPause("k", "k1"), time.Second)
+	m.clock.Time += time.Second
+	is.Equal(m.owner(), pickOK)
+}
--- /dev/null
+++ b/internal/forward/notice.go
@@ -0,0 +1,111 @@
+package forward
+
+import "time"
+
+const (
+	// noticeRetention is how long the notices of a backend server are kept without a new
+	// one. It may be unlisted in between, during an outage of the shared log.
+	noticeRetention = 10 * time.Minute
+	// leaveMargin is subtracted from the time for which a leaving owner of keys still
+	// receives requests, for those that take long to send.
+	leaveMargin = 300 * time.Millisecond
+)
+
+// processID identifies one process of a backend server.
+type processID struct {
+	backend string
+	started int64
+}
+
+// notice is what a process of a backend server has said of itself in its answers. It
+// answers two load patterns: a release, in which servers leave one after the other while
+// their catalogue entries lag, and a burst that a server asks its callers to pause.
+type notice struct {
+	// leavingSince is when the first answer of a leaving process arrived; 0 if none did.
+	leavingSince time.Duration
+	// pausedUntil is the end of the pause that the process has asked this VM for.
+	pausedUntil time.Duration
+	updatedAt   time.Duration
+}
+
+// applyNotices records what an answer says of its backend server. The caller holds s.mu.
+func (s *Servers) applyNotices(b *backend, answer *ResponseHeaders, now time.Duration) {
+	if !answer.Leaving && answer.Pause <= 0 {
+		return
+	}
+	if b.notice == nil {
+		for id, n := range s.notices {
+			if now-n.updatedAt > noticeRetention {
+				delete(s.notices, id)
+			}
+		}
+		b.notice = &notice{}
+		s.notices[processID{b.ID, b.Started}] = b.notice
+	}
+	b.notice.updatedAt = now
+	if answer.Pause > 0 {
+		b.notice.pausedUntil = max(b.notice.pausedUntil, now+answer.Pause)
+	}
+	if answer.Leaving && b.notice.leavingSince == 0 {
+		b.notice.leavingSince = now
+		if !b.keyed {
+			b.usable = false
+			s.rebuildLists()
+		}
+	}
+}
+
+// hasLeft reports whether the backend server must receive no further request because it
+// leaves. The owner of keys receives requests for a while, until its keys have moved.
+func (s *Servers) hasLeft(b *backend, now time.Duration) bool {
+	if b.notice == nil || b.notice.leavingSince == 0 {
+		return false
+	}
+	return !b.keyed || now >= b.notice.leavingSince+s.KeyedLeaveGrace-leaveMargin
+}
+
+// remainingPause returns the rest of the pause that the backend server has asked for.
+func (b *backend) remainingPause(now time.Duration) time.Duration {
+	if b.notice == nil {
+		return 0
+	}
+	return max(0, b.notice.pausedUntil-now)
+}
+
+// shortestPause returns the time until the first backend server of the service ends its
+// pause, or until the one with the given ID does if id is not empty.
+func (s *Servers) shortestPause(service, id string) time.Duration {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id != "" {
+		if b := s.byID[id]; b != nil {
+			return b.remainingPause(now)
+		}
+		return 0
+	}
+	shortest := time.Duration(0)
+	for _, b := range s.byService[service] {
+		if pause := b.remainingPause(now); pause > 0 && (shortest == 0 || pause < shortest) {
+			shortest = pause
+		}
+	}
+	return shortest
+}
+
+// LeavingOwners returns the backend servers of keyed services that leave, so that the
+// lease holder can move their keys before their catalogue entries say so.
+func (s *Servers) LeavingOwners() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var leaving map[string]int64
+	for _, b := range s.byID {
+		if b.keyed && b.notice != nil && b.notice.leavingSince != 0 {
+			if leaving == nil {
+				leaving = make(map[string]int64)
+			}
+			leaving[b.ID] = b.Started
+		}
+	}
+	return leaving
+}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -59,8 +59,13 @@
 	// NotOwner is set if the backend server is another instance than the request
 	// expects, or does not own the key.
 	NotOwner bool
-	Load     Load
-	HasLoad  bool
+	// Leaving is set if the backend server is about to end.
+	Leaving bool
+	// Pause is how long the backend server, which has rejected the request, wants no
+	// request of this VM; 0 if it does not say.
+	Pause   time.Duration
+	Load    Load
+	HasLoad bool
 }
 
 // Protocol reads and writes the headers of callers and backend servers.
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -65,10 +65,14 @@
 	cold      ColdLimits
 	responder upstream.Responder
 	vms       func() int
+	// KeyedLeaveGrace is how long a backend server that says that it leaves may receive
+	// requests for the keys that it owns. It is set before the first request.
+	KeyedLeaveGrace time.Duration
 
 	mu              sync.Mutex
 	random          *rand.Rand
 	seed            uint64 // of rank
+	notices         map[processID]*notice
 	byID            map[string]*backend
 	byService       map[string][]*backend // usable backend servers, by rank
 	localByService  map[string][]*backend // first maxLocalServers of byService in this failure domain
@@ -81,7 +85,8 @@
 func NewServers(c clock.Clock, domain string, cold ColdLimits, responder upstream.Responder, random *rand.Rand, vms func() int) *Servers {
 	return &Servers{
 		clock: c, started: c.Now(), domain: domain, cold: cold, responder: responder, random: random, vms: vms, seed: random.Uint64(),
-		byID: make(map[string]*backend), byService: make(map[string][]*backend),
+		notices: make(map[processID]*notice),
+		byID:    make(map[string]*backend), byService: make(map[string][]*backend),
 		localByService: make(map[string][]*backend), remoteByService: make(map[string][]*backend),
 	}
 }
@@ -117,7 +122,7 @@
 		if known == nil {
 			known = &backend{
 				pool: upstream.NewPool(listed.Address, s.clock, s.responder), slowness: 1, relativeLatency: 1,
-				local: listed.Domain == s.domain, rank: s.rank(id),
+				local: listed.Domain == s.domain, rank: s.rank(id), notice: s.notices[processID{id, listed.Started}],
 			}
 			s.byID[id] = known
 		}
@@ -132,9 +137,11 @@
 				s.startCold(known, service, now)
 			}
 		}
-		usable := view.Usable(&listed)
-		changed = changed || usable != known.usable || listed.Service != known.Service
-		known.Backend, known.usable = listed, usable
+		listedService := known.Service
+		known.Backend = listed
+		usable := view.Usable(&listed) && (known.keyed || !s.hasLeft(known, now))
+		changed = changed || usable != known.usable || listed.Service != listedService
+		known.usable = usable
 	}
 	if changed {
 		s.rebuildLists()
@@ -183,6 +190,7 @@
 	pickAllFull   pickReason = "backends-full"
 	pickTooLate   pickReason = "no-time"
 	pickColdLimit pickReason = "backends-cold"
+	pickPaused    pickReason = "backends-paused"
 	pickQueued    pickReason = "queued"
 )
 
@@ -227,7 +235,10 @@
 		}
 		stats := b.stats(now)
 		if unavailable := b.unavailableReason(&stats, now, usualLatency, timeLeft); unavailable != pickOK {
-			reason = unavailable
+			// Without a pause the caller may come back sooner.
+			if unavailable != pickPaused || reason == pickNoServer {
+				reason = unavailable
+			}
 			continue
 		}
 		if b.ownInFlight >= connections {
@@ -321,7 +332,7 @@
 	defer s.mu.Unlock()
 	s.applyView(view)
 	b := s.byID[id]
-	if b == nil || !view.Usable(&b.Backend) {
+	if b == nil || !view.Usable(&b.Backend) || s.hasLeft(b, now) {
 		return nil, pickNoServer
 	}
 	stats := b.stats(now)
@@ -371,7 +382,7 @@
 	stats := b.stats(now)
 	// Usual latency and time left are 0, so that the deadline, which was checked when w
 	// was queued, is not checked again.
-	if b.unavailableReason(&stats, now, 0, 0) == pickOK {
+	if b.unavailableReason(&stats, now, 0, 0) == pickOK && !s.hasLeft(b, now) {
 		s.startRequest(b, service, now)
 		w.hasPermit = true
 	}
--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -135,6 +135,7 @@
 // passes the monotonic time to each method. It is not safe for concurrent use.
 type Core struct {
 	instance string
+	era      int64 // of the shared log in which the state is recorded
 	fence    int64
 	ranges   map[string][]*rangeState
 	version  int64 // of the newest state; grows with each change
@@ -142,8 +143,10 @@
 	// predecessorUntil is the latest time at which the predecessor may still send calls.
 	predecessorUntil time.Duration
 	lastBalance      map[string]time.Duration
-	// newServices are the services whose keys are not assigned yet.
-	newServices map[string]*newService
+	// newServices are the services whose keys are not assigned yet. Before newServicesFrom a
+	// service without ranges may be one whose ranges are lost since the log was restored.
+	newServices     map[string]*newService
+	newServicesFrom time.Duration
 	// avoidUntil is the time until which an unreachable backend server gets no further
 	// keys, by server ID.
 	avoidUntil map[string]time.Duration
@@ -157,36 +160,68 @@
 	since   time.Duration
 }
 
-// NewCore returns the core of an instance that has just acquired the assignment lease.
-// recorded is the assignment in the shared log, or nil if there is none. If resigned is
-// set, the predecessor had ended all its calls before it gave up the lease.
-func NewCore(instance string, recorded *keyrange.Assignment, now time.Duration, resigned bool) *Core {
+// eraFences is the number of fencing tokens of one era of the shared log. A restored log
+// does not say how many tokens were used since the copy, so each era has tokens of its own.
+// An era of days, with thousands of moves a second, stays far below it.
+const eraFences = int64(1) << 32
+
+// firstFence returns a fencing token above all that were used in earlier eras of the
+// shared log.
+func firstFence(era int64) int64 { return era * eraFences }
+
+// NewCore returns the core of an instance that has just acquired the assignment lease in
+// the given era of the shared log. recorded is the assignment before the claim, or nil if
+// there is none. If resigned is set, the predecessor had ended all its calls before it
+// gave up the lease. A recorded assignment of an earlier era may lack the newest grants:
+// its owners only hint at where the ranges were.
+func NewCore(instance string, recorded *keyrange.Assignment, era int64, now time.Duration, resigned bool) *Core {
 	c := &Core{
-		instance: instance, ranges: make(map[string][]*rangeState), lastBalance: make(map[string]time.Duration),
+		instance: instance, era: era, fence: firstFence(era),
+		ranges: make(map[string][]*rangeState), lastBalance: make(map[string]time.Duration),
 		newServices:      make(map[string]*newService),
 		avoidUntil:       make(map[string]time.Duration),
 		predecessorUntil: now + predecessorTimeout,
 	}
+	if recorded == nil {
+		if resigned {
+			c.predecessorUntil = now
+		}
+		return c
+	}
+	restored := recorded.Era < era
 	leasedUntil := now + AssignmentLeaseDuration + RangeLeaseDuration + holdMargin
-	if resigned {
+	if resigned && !restored {
 		leasedUntil = now + RangeLeaseDuration + holdMargin
 		c.predecessorUntil = now
 	}
-	if recorded == nil {
-		return c
+	if era > 0 {
+		c.newServicesFrom = now + AssignmentLeaseDuration + RangeLeaseDuration + holdMargin
 	}
-	c.fence = recorded.Fence
+	c.fence = max(c.fence, recorded.Fence)
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
-			c.ranges[service] = append(c.ranges[service], &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: c.predecessorUntil})
+			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: c.predecessorUntil}
+			if restored {
+				s.entry, s.target = keyrange.Entry{Range: entry.Range}, entry.Backend
+			}
+			c.ranges[service] = append(c.ranges[service], s)
 		}
 	}
 	return c
 }
 
+// Restored notes that the shared log was restored from an older copy and is now in the
+// given era. The whole state has to be recorded again, and new fencing tokens are those of
+// the era. No other instance may have acquired the lease in the part of the log that is
+// lost.
+func (c *Core) Restored(era int64) {
+	c.era, c.fence = era, max(c.fence, firstFence(era))
+	c.version++
+}
+
 // State returns the assignment to record in the shared log.
 func (c *Core) State() *keyrange.Assignment {
-	a := &keyrange.Assignment{Holder: c.instance, Fence: c.fence, Services: make(map[string][]keyrange.Entry)}
+	a := &keyrange.Assignment{Holder: c.instance, Fence: c.fence, Era: c.era, Services: make(map[string][]keyrange.Entry)}
 	for service, ranges := range c.ranges {
 		entries := make([]keyrange.Entry, len(ranges))
 		for i, s := range ranges {
@@ -281,7 +316,7 @@
 		c.newServices[service] = &newService{servers: len(servers), since: now}
 		return false
 	}
-	if len(servers) == 0 || now < pending.since+newServiceDelay {
+	if len(servers) == 0 || now < pending.since+newServiceDelay || now < c.newServicesFrom {
 		return false
 	}
 	c.ranges[service] = []*rangeState{{service: service, entry: keyrange.Entry{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}}}}
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -42,9 +42,13 @@
 	servers []*modelServer
 	// nextNumber is the last number used for a server, an address or a start time.
 	nextNumber int
-	// record is the newest state that the shared log has accepted.
-	record *keyrange.Assignment
-	core   *Core
+	restores   bool // whether the shared log is restored from older copies
+	// record is the newest state that the shared log has, era its era, and history the
+	// states that it accepted, the newest last.
+	record  *keyrange.Assignment
+	era     int64
+	history []acceptedRecord
+	core    *Core
 	// predecessors are cores that lost the lease; they run until it expires.
 	predecessors []predecessor
 	pending      []pendingCall
@@ -54,6 +58,15 @@
 	lastChecked  []leaseSnapshot        // at the last step
 }
 
+// acceptedRecord is a state that the shared log accepted at a time.
+type acceptedRecord struct {
+	state *keyrange.Assignment
+	at    time.Duration
+}
+
+// maxCopyAge is the age of the oldest copy from which the shared log is restored.
+const maxCopyAge = 10 * time.Second
+
 // predecessor is a core that has lost the assignment lease.
 type predecessor struct {
 	core  *Core
@@ -86,7 +99,7 @@
 	for range 5 {
 		m.addServer()
 	}
-	m.core = NewCore("vm-0", nil, 0, true)
+	m.core = NewCore("vm-0", nil, 0, 0, true)
 	return m
 }
 
@@ -145,6 +158,7 @@
 	if accepted && m.random.Float64() < 0.8 {
 		m.record = core.State().Clone()
 		core.SetAccepted(core.Version())
+		m.history = append(m.history, acceptedRecord{m.record, m.now})
 	}
 }
 
@@ -187,8 +201,8 @@
 	m.events = append(m.events, fmt.Sprintf("%8s ", m.now)+fmt.Sprintf(format, args...))
 }
 
-// history returns the last events.
-func (m *model) history() string {
+// lastEvents returns the last events.
+func (m *model) lastEvents() string {
 	return strings.Join(m.events[max(0, len(m.events)-60):], "\n")
 }
 
@@ -289,9 +303,31 @@
 		}
 	case 6:
 		m.changeHolder(false)
+	case 7:
+		if m.restores {
+			m.restoreLog()
+		}
 	}
 }
 
+// restoreLog takes the shared log back to an older copy. Then either the lease holder
+// records its state again, or a VM that knows nothing newer than the copy takes over.
+func (m *model) restoreLog() {
+	oldest := m.now - time.Duration(m.random.Int64N(int64(maxCopyAge)))
+	m.history = slices.DeleteFunc(m.history, func(r acceptedRecord) bool { return r.at > oldest })
+	if len(m.history) == 0 {
+		return
+	}
+	m.record = m.history[len(m.history)-1].state
+	m.era++
+	m.logf("the log is restored to %s", m.history[len(m.history)-1].at)
+	if m.random.IntN(2) == 0 {
+		m.core.Restored(m.era)
+		return
+	}
+	m.changeHolder(false)
+}
+
 // changeHolder gives the assignment lease to a new core; the old core runs until its
 // own lease expires.
 func (m *model) changeHolder(resigned bool) {
@@ -300,7 +336,7 @@
 		return
 	}
 	m.predecessors = append(m.predecessors, predecessor{m.core, m.now + AssignmentLeaseDuration})
-	m.core = NewCore("vm", m.record.Clone(), m.now, resigned)
+	m.core = NewCore("vm", m.record.Clone(), m.era, m.now, resigned)
 }
 
 // leaseSnapshot is a key range lease at the time of a check.
@@ -336,7 +372,7 @@
 		for _, h := range s.leases {
 			for part := h.r.First / keyrange.PartSize; part <= h.r.Last/keyrange.PartSize; part++ {
 				if holder[part] != "" {
-					m.t.Fatalf("at %s part %d is held by %s and %s\n%s", m.now, part, holder[part], s.id, m.history())
+					m.t.Fatalf("at %s part %d is held by %s and %s\n%s", m.now, part, holder[part], s.id, m.lastEvents())
 				}
 				holder[part] = s.id
 				if m.owners[part] != process && m.owners[part] != "" && h.fence <= m.fences[part] {
@@ -362,6 +398,25 @@
 	}
 }
 
+// TestExclusiveOwnershipAfterRestore guards against two backend servers that hold a key at
+// the same time, and against fencing tokens that fall, when the shared log is restored from
+// a copy that lacks the newest grants, at any instant of a handover.
+func TestExclusiveOwnershipAfterRestore(t *testing.T) {
+	for seed := range modelSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			m := newModel(t, seed)
+			for m.now < 60*time.Second {
+				m.restores = m.now > 5*time.Second
+				m.step()
+				if m.restores && m.random.IntN(100) == 0 {
+					m.restoreLog()
+				}
+			}
+		})
+	}
+}
+
 // TestAllKeysGetOwners guards against keys that stay without an owner although usable
 // backend servers exist.
 func TestAllKeysGetOwners(t *testing.T) {
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -50,6 +50,10 @@
 // errNotHolder reports that another VM holds the assignment lease.
 var errNotHolder = errors.New("another VM holds the assignment lease")
 
+// errLeaseUnconfirmed reports that the shared log was restored from an older copy, and that
+// another VM may have claimed the assignment lease in the part that is lost.
+var errLeaseUnconfirmed = errors.New("the shared log was restored, and the lease was not confirmed shortly before")
+
 // LessorOptions are the dependencies and settings of a Lessor.
 type LessorOptions struct {
 	Log      sharedlog.Log
@@ -60,7 +64,9 @@
 	Instance string
 	// Address is the HOST:PORT at which other VMs reach this one.
 	Address string
-	Logger  *zap.Logger
+	// FirstStart is set if no VM has run before.
+	FirstStart bool
+	Logger     *zap.Logger
 	// ConfigKnown reports whether this VM has read a configuration. It is called at each
 	// step on each VM.
 	ConfigKnown func() bool
@@ -95,8 +101,8 @@
 	logLimit      *linelimit.Limiter
 	// paused is set while the topic is not read; its channel is closed when reads resume.
 	paused atomic.Pointer[chan struct{}]
-	// lostAtOffset is the offset after the record by which another VM acquired the lease.
-	lostAtOffset int64
+	// lostAt is the position after the record by which another VM acquired the lease.
+	lostAt sharedlog.Position
 }
 
 // NewLessor returns a lessor that does not hold the assignment lease.
@@ -112,8 +118,8 @@
 // leaseState is the state while this VM holds the assignment lease.
 type leaseState struct {
 	core            *Core
-	topicEnd        int64         // offset after the newest record of the topic
-	renewedAt       time.Duration // send time of the last accepted append
+	topicEnd        sharedlog.Position // position after the newest record of the topic
+	renewedAt       time.Duration      // send time of the last accepted append
 	appending       bool
 	nextHeartbeat   time.Duration
 	nextAppend      time.Duration
@@ -130,15 +136,16 @@
 	lease    *leaseState
 }
 
-// appendResult is the result of an append of records at offset expectedEnd. version is
-// the version of the state in them; claim marks a claim of the assignment lease.
+// appendResult is the result of an append of records at the position expectedEnd. version
+// is the version of the state in them; claim marks a claim of the assignment lease, and
+// reclaim the record of a held lease in a restored shared log.
 type appendResult struct {
 	lease               *leaseState
 	version             int64
-	claim               bool
+	claim, reclaim      bool
 	sentAt              time.Duration
 	records             []sharedlog.Record
-	expectedEnd, newEnd int64
+	expectedEnd, newEnd sharedlog.Position
 	err                 error
 }
 
@@ -286,6 +293,10 @@
 		l.claimIfFree(ctx, now)
 		return
 	}
+	if l.Table.era() > l.lease.topicEnd.Era {
+		l.reclaim(ctx, now)
+		return
+	}
 	if l.Table.holder() != l.Instance && l.tableCaughtUp() {
 		l.lose(errNotHolder)
 		return
@@ -311,8 +322,53 @@
 
 // tableCaughtUp reports whether the table includes all of this VM's own appends.
 func (l *Lessor) tableCaughtUp() bool {
-	_, nextOffset := l.Table.holderSilence()
-	return nextOffset >= l.lease.topicEnd
+	_, next := l.Table.holderSilence()
+	return !next.Before(l.lease.topicEnd)
+}
+
+// reclaim records the held lease in a shared log that was restored from an older copy,
+// which lacks the newest grants or even the claim of this VM. The state of this VM is the
+// newest one, so the leases go on without a gap. If the last accepted append is older than
+// ClaimAfter, another VM may have claimed the lease in the part of the log that is lost;
+// then this VM starts over with a claim, which waits for all leases to end.
+func (l *Lessor) reclaim(ctx context.Context, now time.Duration) {
+	lease := l.lease
+	_, end := l.Table.holderSilence()
+	current := l.Table.Current()
+	switch {
+	case current != nil && current.Era == end.Era && current.Holder != l.Instance:
+		l.lose(errNotHolder)
+		return
+	case now-lease.renewedAt >= ClaimAfter:
+		l.lose(errLeaseUnconfirmed)
+		return
+	}
+	l.sendDueCalls(ctx, now)
+	if lease.appending || now < lease.nextAppend {
+		return
+	}
+	lease.core.Restored(end.Era)
+	l.Logger.Warn("assignment lease is recorded again in a restored log", zap.Int64("era", end.Era), zap.Int64("end", end.Offset))
+	version := lease.core.Version()
+	lease.recordedMembers = nil
+	records, ok := l.stateRecords(version, true)
+	if !ok {
+		return
+	}
+	lease.appending = true
+	l.append(ctx, lease, records, end, appendResult{lease: lease, version: version, reclaim: true, sentAt: now})
+}
+
+// sendDueCalls sends the calls that are due to backend servers. The assignment lease must
+// be valid.
+func (l *Lessor) sendDueCalls(ctx context.Context, now time.Duration) {
+	if !l.ConfigKnown() {
+		return
+	}
+	for _, call := range l.lease.core.Step(now, l.Input()) {
+		l.sendCall(ctx, call)
+	}
+	l.logChanges()
 }
 
 // stepHolder sends the calls that are due while the assignment lease is valid, and
@@ -322,11 +378,8 @@
 	if now-lease.renewedAt > maxAppendAge {
 		l.setPaused(false)
 	}
-	if l.ConfigKnown() && now-lease.renewedAt < AssignmentLeaseDuration {
-		for _, call := range lease.core.Step(now, l.Input()) {
-			l.sendCall(ctx, call)
-		}
-		l.logChanges()
+	if now-lease.renewedAt < AssignmentLeaseDuration {
+		l.sendDueCalls(ctx, now)
 	}
 	due := now >= lease.nextHeartbeat || lease.core.Version() > lease.core.accepted
 	if due && !lease.appending && now >= lease.nextAppend {
@@ -361,27 +414,39 @@
 func (l *Lessor) appendState(ctx context.Context, now time.Duration) {
 	lease := l.lease
 	version := lease.core.Version()
+	records, ok := l.stateRecords(version, now >= lease.nextHeartbeat)
+	if !ok {
+		return
+	}
+	lease.appending = true
+	l.append(ctx, lease, records, lease.topicEnd, appendResult{lease: lease, version: version, sentAt: now})
+}
+
+// stateRecords returns the records of the assignment, if the given version of it is not
+// accepted yet, and of the heartbeat, if it is wanted, with the list of members if that has
+// changed. It returns false if the assignment cannot be encoded.
+func (l *Lessor) stateRecords(version int64, withHeartbeat bool) ([]sharedlog.Record, bool) {
+	lease := l.lease
 	var records []sharedlog.Record
 	if version > lease.core.accepted {
 		state := lease.core.State()
 		state.Address = l.Address
 		record, ok := l.assignmentRecord("assignment", state)
 		if !ok {
-			return
+			return nil, false
 		}
 		records = append(records, record)
 	}
-	if now >= lease.nextHeartbeat {
+	if withHeartbeat {
 		heartbeat, members := l.Notices()
 		if !bytes.Equal(members, lease.recordedMembers) {
 			records = append(records, sharedlog.Record{Key: keyMembers, Value: members})
 			lease.recordedMembers = members
 		}
 		records = append(records, sharedlog.Record{Key: keyHeartbeat, Value: heartbeat})
-		lease.nextHeartbeat = now + HeartbeatInterval
+		lease.nextHeartbeat = l.Clock.Now() + HeartbeatInterval
 	}
-	lease.appending = true
-	l.append(ctx, lease, records, lease.topicEnd, appendResult{lease: lease, version: version, sentAt: now})
+	return records, true
 }
 
 // assignmentRecord returns the record of an assignment, or logs an error and returns
@@ -397,7 +462,7 @@
 
 // append makes one conditional append in the background and reports its result to the
 // loop.
-func (l *Lessor) append(ctx context.Context, lease *leaseState, records []sharedlog.Record, expectedEnd int64, a appendResult) {
+func (l *Lessor) append(ctx context.Context, lease *leaseState, records []sharedlog.Record, expectedEnd sharedlog.Position, a appendResult) {
 	a.records, a.expectedEnd = records, expectedEnd
 	go func() {
 		a.newEnd, a.err = l.Log.Append(ctx, l.Topic, records, expectedEnd)
@@ -415,26 +480,30 @@
 }
 
 // readBack finds out whether an append that failed with cause has taken effect. It
-// returns whether the records are in the topic, the offset to append at next, and the
-// error to report if they are not.
-func (l *Lessor) readBack(ctx context.Context, records []sharedlog.Record, expectedEnd int64, cause error) (bool, int64, error) {
+// returns whether the records are in the topic, the position to append at next, and the
+// error to report if they are not. Assignments of an earlier era than the append are those
+// of a delayed append, which no VM takes for a claim.
+func (l *Lessor) readBack(ctx context.Context, records []sharedlog.Record, expectedEnd sharedlog.Position, cause error) (bool, sharedlog.Position, error) {
 	batch, err := l.Log.Read(ctx, l.Topic, expectedEnd, 0)
 	if err != nil {
+		if errors.Is(err, sharedlog.ErrRestored) || errors.Is(err, sharedlog.ErrTrimmed) {
+			cause = err
+		}
 		return false, expectedEnd, cause
 	}
 	applied := false
 	for _, record := range batch.Records {
 		if record.Key == keyAssignment {
 			assignment, err := keyrange.Decode(record.Value)
-			if err != nil || assignment.Holder != l.Instance {
-				return false, batch.Next, errNotHolder
+			if err != nil || assignment.Holder != l.Instance && assignment.Era >= expectedEnd.Era {
+				return false, batch.NextPosition(), errNotHolder
 			}
 		}
 		for _, appended := range records {
 			applied = applied || appended.Key == record.Key && bytes.Equal(appended.Value, record.Value)
 		}
 	}
-	return applied, batch.Next, cause
+	return applied, batch.NextPosition(), cause
 }
 
 // finishAppend processes the result of an append.
@@ -454,10 +523,15 @@
 		lease.core.SetAccepted(a.version)
 		l.applyAppended(a)
 	case errors.Is(a.err, errNotHolder):
-		l.lostAtOffset = a.newEnd
+		l.lostAt = a.newEnd
 		l.lose(a.err)
 	default:
-		lease.topicEnd = max(lease.topicEnd, a.newEnd)
+		if lease.topicEnd.Before(a.newEnd) && !a.reclaim {
+			lease.topicEnd = a.newEnd
+		}
+		if errors.Is(a.err, sharedlog.ErrRestored) || errors.Is(a.err, sharedlog.ErrTrimmed) {
+			l.setPaused(false) // reclaim follows once the restored topic is read
+		}
 		lease.nextAppend = l.Clock.Now() + appendRetryInterval
 		lease.nextHeartbeat, lease.recordedMembers = 0, nil
 		l.Logger.Warn("append to the shared log failed", logfield.Error(a.err), zap.Duration("unconfirmed", l.Clock.Now()-lease.renewedAt))
@@ -467,11 +541,11 @@
 // applyAppended applies the records of an accepted append to the table without a read,
 // and so passes them on to the VMs for which this one is the relay.
 func (l *Lessor) applyAppended(a appendResult) {
-	if a.newEnd != a.expectedEnd+int64(len(a.records)) {
+	if a.newEnd.Era != a.expectedEnd.Era || a.newEnd.Offset != a.expectedEnd.Offset+int64(len(a.records)) {
 		return // other VMs appended too, so the topic must be read
 	}
 	l.follower.DeliverAppended(a.records, a.expectedEnd, a.sentAt)
-	if l.follower.Cursor() == a.newEnd {
+	if next, _ := l.follower.Cursor(); next == a.newEnd {
 		l.setPaused(true)
 	}
 }
@@ -481,25 +555,25 @@
 	if l.claiming || l.isStopping() {
 		return
 	}
-	silent, nextOffset := l.Table.holderSilence()
+	silent, next := l.Table.holderSilence()
 	current := l.Table.Current()
-	if nextOffset == 0 && l.Table.neverRead() || l.Table.undecodable.Load() {
+	if next.Offset == 0 && l.Table.neverRead() || l.Table.undecodable.Load() {
 		return
 	}
 	if !l.ConfigKnown() && current != nil {
 		return // leave the lease to a VM that knows the state of the fleet
 	}
 	free := l.claimable(current, silent, now)
-	if nextOffset < l.lostAtOffset {
+	if next.Before(l.lostAt) {
 		return // the table does not include the claim of the other VM yet
 	}
-	if current != nil && current.Holder == l.Instance {
+	if current != nil && current.Holder == l.Instance && current.Era == next.Era {
 		// A claim of this VM took effect although its append had failed.
-		l.acquire(current, nextOffset, now, false)
+		l.acquire(current, next, now, false)
 		return
 	}
 	if free {
-		l.claim(ctx, current, nextOffset, now)
+		l.claim(ctx, current, next, now)
 	}
 }
 
@@ -513,8 +587,10 @@
 		return now-l.vacantSince >= l.claimJitter()
 	}
 	l.vacantSince = 0
-	if current.Address == l.Address && current.Holder != l.Instance {
-		return true // this process listens on the holder's address, so the holder has ended
+	if current.Address == l.Address {
+		// The holder is an ended process, whose address this one has, or this process itself
+		// before the shared log was restored.
+		return true
 	}
 	return silent >= ClaimAfter+l.claimJitter()
 }
@@ -528,13 +604,18 @@
 }
 
 // claim appends a record with this VM as the lease holder, on the condition that the
-// topic ends at expectedEnd.
-func (l *Lessor) claim(ctx context.Context, current *keyrange.Assignment, expectedEnd int64, now time.Duration) {
+// topic ends at expectedEnd. If the shared log was restored from an older copy, the owners
+// that this VM knows may not be the newest ones, so the record has none.
+func (l *Lessor) claim(ctx context.Context, current *keyrange.Assignment, expectedEnd sharedlog.Position, now time.Duration) {
 	state := &keyrange.Assignment{}
 	if current != nil {
 		state = current.Clone()
+		if current.Era < expectedEnd.Era {
+			state = current.Unowned()
+			state.Fence = max(state.Fence, firstFence(expectedEnd.Era))
+		}
 	}
-	state.Holder, state.Address = l.Instance, l.Address
+	state.Holder, state.Address, state.Era = l.Instance, l.Address, expectedEnd.Era
 	record, ok := l.assignmentRecord("claim", state)
 	if !ok {
 		return
@@ -556,11 +637,14 @@
 
 // acquire makes this VM the lease holder. The recorded state is the one before the
 // claim, which changes only the holder.
-func (l *Lessor) acquire(recorded *keyrange.Assignment, topicEnd int64, sentAt time.Duration, resigned bool) {
+func (l *Lessor) acquire(recorded *keyrange.Assignment, topicEnd sharedlog.Position, sentAt time.Duration, resigned bool) {
 	now := l.Clock.Now()
-	l.lease = &leaseState{core: NewCore(l.Instance, recorded, now, resigned), topicEnd: topicEnd, renewedAt: sentAt}
+	if recorded == nil && !l.FirstStart {
+		recorded = &keyrange.Assignment{} // the record may be lost, in a restored log
+	}
+	l.lease = &leaseState{core: NewCore(l.Instance, recorded, topicEnd.Era, now, resigned), topicEnd: topicEnd, renewedAt: sentAt}
 	l.vacantSince = 0
-	l.Logger.Info("assignment lease acquired", zap.Int64("end", topicEnd), zap.Bool("resigned", resigned))
+	l.Logger.Info("assignment lease acquired", zap.Int64("end", topicEnd.Offset), zap.Int64("era", topicEnd.Era), zap.Bool("resigned", resigned))
 	l.OnLeaseChange(true)
 }
 
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -25,6 +25,27 @@
 	// loseResponses makes appends fail although they take effect.
 	loseResponses bool
 	reads         int
+	era           int64
+}
+
+// restore takes the log back to its first records and starts a new era.
+func (l *memoryLog) restore(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append([]sharedlog.Record(nil), l.records[:records]...)
+	l.era++
+}
+
+// size returns the number of records.
+func (l *memoryLog) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
+// end returns the end of the topic. The caller holds the lock.
+func (l *memoryLog) end() sharedlog.Position {
+	return sharedlog.Position{Era: l.era, Offset: int64(len(l.records))}
 }
 
 var errUnreachable = errors.New("the shared log is unreachable")
@@ -35,23 +56,30 @@
 	l.disconnected, l.loseResponses = disconnected, loseResponses
 }
 
-func (l *memoryLog) Append(_ context.Context, _ string, records []sharedlog.Record, expectedEnd int64) (int64, error) {
+func (l *memoryLog) Append(_ context.Context, _ string, records []sharedlog.Record, expectedEnd sharedlog.Position) (sharedlog.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.disconnected {
-		return 0, errUnreachable
+		return sharedlog.Position{}, errUnreachable
 	}
-	if expectedEnd != sharedlog.AnyEnd && expectedEnd != int64(len(l.records)) {
-		return 0, sharedlog.ErrEndMoved
+	moved := expectedEnd != sharedlog.AnyEnd && expectedEnd.Offset != int64(len(l.records))
+	restored := expectedEnd != sharedlog.AnyEnd && expectedEnd.Era < l.era
+	if moved && !restored {
+		return sharedlog.Position{}, sharedlog.ErrEndMoved
 	}
-	for _, r := range records {
-		r.Offset = int64(len(l.records))
-		l.records = append(l.records, r)
+	if !moved { // the log does not know the expected era
+		for _, r := range records {
+			r.Offset = int64(len(l.records))
+			l.records = append(l.records, r)
+		}
 	}
 	if l.loseResponses {
-		return 0, errUnreachable
+		return sharedlog.Position{}, errUnreachable
 	}
-	return int64(len(l.records)), nil
+	if restored {
+		return sharedlog.Position{}, sharedlog.ErrRestored
+	}
+	return l.end(), nil
 }
 
 func (l *memoryLog) readCount() int {
@@ -60,7 +88,7 @@
 	return l.reads
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (sharedlog.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, _ string, from sharedlog.Position, wait time.Duration) (sharedlog.Batch, error) {
 	l.mu.Lock()
 	l.reads++
 	l.mu.Unlock()
@@ -70,11 +98,15 @@
 			l.mu.Unlock()
 			return sharedlog.Batch{}, errUnreachable
 		}
+		if l.era > from.Era {
+			l.mu.Unlock()
+			return sharedlog.Batch{}, sharedlog.ErrRestored
+		}
 		next := int64(len(l.records))
-		if next > from || time.Now().After(end) || ctx.Err() != nil {
-			b := sharedlog.Batch{Next: next, End: next}
-			if next > from {
-				b.Records = append(b.Records, l.records[from:]...)
+		if next > from.Offset || time.Now().After(end) || ctx.Err() != nil {
+			b := sharedlog.Batch{Era: l.era, Next: next, End: next}
+			if next > from.Offset {
+				b.Records = append(b.Records, l.records[from.Offset:]...)
 			}
 			l.mu.Unlock()
 			return b, nil
@@ -84,7 +116,10 @@
 }
 
 func (l *memoryLog) Newest(ctx context.Context, topic string) (sharedlog.Batch, error) {
-	return l.Read(ctx, topic, 0, 0)
+	l.mu.Lock()
+	from := sharedlog.Position{Era: l.era}
+	l.mu.Unlock()
+	return l.Read(ctx, topic, from, 0)
 }
 
 // vmLog is one VM's connection to the shared log.
@@ -106,14 +141,14 @@
 	return c.disconnected
 }
 
-func (c *vmLog) Append(ctx context.Context, topic string, records []sharedlog.Record, expectedEnd int64) (int64, error) {
+func (c *vmLog) Append(ctx context.Context, topic string, records []sharedlog.Record, expectedEnd sharedlog.Position) (sharedlog.Position, error) {
 	if c.isDisconnected() {
-		return 0, errUnreachable
+		return sharedlog.Position{}, errUnreachable
 	}
 	return c.memoryLog.Append(ctx, topic, records, expectedEnd)
 }
 
-func (c *vmLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (sharedlog.Batch, error) {
+func (c *vmLog) Read(ctx context.Context, topic string, from sharedlog.Position, wait time.Duration) (sharedlog.Batch, error) {
 	if c.isDisconnected() {
 		return sharedlog.Batch{}, errUnreachable
 	}
@@ -121,7 +156,10 @@
 }
 
 func (c *vmLog) Newest(ctx context.Context, topic string) (sharedlog.Batch, error) {
-	return c.Read(ctx, topic, 0, 0)
+	if c.isDisconnected() {
+		return sharedlog.Batch{}, errUnreachable
+	}
+	return c.memoryLog.Newest(ctx, topic)
 }
 
 // countingGranter accepts every call and counts the grants.
@@ -243,7 +281,7 @@
 func TestUnreadableRecord(t *testing.T) {
 	is := is.New(t)
 	log := &memoryLog{}
-	_, err := log.Append(context.Background(), "lease", []sharedlog.Record{{Key: keyAssignment, Value: []byte("of a later version")}}, 0)
+	_, err := log.Append(context.Background(), "lease", []sharedlog.Record{{Key: keyAssignment, Value: []byte("of a later version")}}, sharedlog.Position{})
 	is.NoErr(err)
 	l := startLessor(t, log, "first")
 	time.Sleep(2 * ClaimAfter)
@@ -334,7 +372,7 @@
 // of a new service because the others were not listed yet.
 func TestNewServiceWaitsForServers(t *testing.T) {
 	is := is.New(t)
-	c := NewCore("vm", nil, 0, true)
+	c := NewCore("vm", nil, 0, 0, true)
 	in := Input{Servers: map[string][]Server{"s": nil}}
 	for i := range 5 {
 		now := time.Duration(i) * 500 * time.Millisecond
@@ -358,7 +396,7 @@
 // fencing token each time.
 func TestFailedGrantBacksOff(t *testing.T) {
 	for _, err := range []error{ErrRejected, ErrNotSent, errors.New("reset")} {
-		c := NewCore("vm", nil, 0, true)
+		c := NewCore("vm", nil, 0, 0, true)
 		in := Input{Servers: map[string][]Server{"s": {{ID: "a", Address: "a", Usable: true, Capacity: 1}}}}
 		calls := 0
 		for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
@@ -381,7 +419,7 @@
 	server := func(id string, usable bool) Server {
 		return Server{ID: id, Address: id, Started: 1, Usable: usable, Capacity: 4}
 	}
-	core := NewCore("vm", nil, 0, true)
+	core := NewCore("vm", nil, 0, 0, true)
 	kinds := make(map[ChangeKind]string)
 	step := func(now time.Duration, servers ...Server) {
 		for _, call := range core.Step(now, Input{Servers: map[string][]Server{"s": servers}}) {
@@ -404,3 +442,94 @@
 	is.Equal(kinds[ChangeFreed], "a released;")
 	is.Equal(kinds[ChangeAssigned], "a ;b ;")
 }
+
+// assignments returns the recorded assignments.
+func (l *memoryLog) assignments(t *testing.T) []*keyrange.Assignment {
+	t.Helper()
+	batch, err := l.Newest(context.Background(), "lease")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []*keyrange.Assignment
+	for _, r := range batch.Records {
+		if r.Key != keyAssignment {
+			continue
+		}
+		a, err := keyrange.Decode(r.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, a)
+	}
+	return list
+}
+
+// TestHolderAfterRestore guards against a lease holder that stops renewing leases, or never
+// records them again, because the restored log lacks its last records or its claim.
+func TestHolderAfterRestore(t *testing.T) {
+	for name, kept := range map[string]int{"without the last records": 4, "without the claim": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log := &memoryLog{}
+			holder := startLessor(t, log, "first")
+			await(t, "keys are granted", func() bool { return holder.grants.n.Load() > 0 })
+			await(t, "the log has more records", func() bool { return log.size() > 5 })
+			other := startLessor(t, log, "second")
+			time.Sleep(100 * time.Millisecond)
+			log.restore(kept)
+			await(t, "the assignment is recorded again", func() bool {
+				list := log.assignments(t)
+				return len(list) > 0 && list[len(list)-1].Holder == "first" && list[len(list)-1].Era == 1
+			})
+			list := log.assignments(t)
+			is.Equal(list[len(list)-1].Services["s"][0].Backend, "b")
+			before := holder.grants.n.Load()
+			time.Sleep(ClaimAfter + maxClaimJitter)
+			is.True(holder.grants.n.Load() > before)
+			_, acquisitions := holder.state()
+			is.Equal(acquisitions, 1)
+			_, acquisitions = other.state()
+			is.Equal(acquisitions, 0)
+		})
+	}
+}
+
+// TestTakeoverAfterRestore guards against a new lease holder that trusts the owners in a
+// restored log, which may lack the newest grants: it must wait until all leases have ended,
+// and use higher fencing tokens than all before.
+func TestTakeoverAfterRestore(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	first := startLessor(t, log, "first")
+	await(t, "keys are granted", func() bool { return first.grants.n.Load() > 0 })
+	await(t, "the log has more records", func() bool { return log.size() > 4 })
+	lastFence := log.assignments(t)[len(log.assignments(t))-1].Fence
+	first.log.setDisconnected(true)
+	log.restore(3)
+	restoredAt := time.Now()
+	second := startLessor(t, log, "second")
+	await(t, "the second VM grants keys", func() bool { return second.grants.n.Load() > 0 })
+	is.True(time.Since(restoredAt) > AssignmentLeaseDuration+RangeLeaseDuration)
+	list := log.assignments(t)
+	is.True(list[len(list)-1].Services["s"][0].Fence > lastFence)
+	first.log.setDisconnected(false)
+	await(t, "the first VM has lost the lease", func() bool { held, _ := first.state(); return !held })
+}
+
+// TestLongOutageBeforeRestore guards against a holder that goes on with its leases after a
+// restore although another VM may have held the lease in the part of the log that is lost.
+func TestLongOutageBeforeRestore(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	holder := startLessor(t, log, "first")
+	await(t, "keys are granted", func() bool { return holder.grants.n.Load() > 0 })
+	await(t, "the log has more records", func() bool { return log.size() > 4 })
+	log.setFaults(true, false)
+	time.Sleep(ClaimAfter + HeartbeatInterval)
+	log.restore(3)
+	log.setFaults(false, false)
+	await(t, "the lease is acquired again", func() bool { _, acquisitions := holder.state(); return acquisitions == 2 })
+	list := log.assignments(t)
+	is.Equal(list[len(list)-1].Era, int64(1))
+	is.Equal(list[len(list)-1].Services["s"][0].Backend, "")
+}
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -31,8 +31,8 @@
 	changed     atomic.Pointer[chan struct{}]
 
 	mu sync.Mutex
-	// nextOffset is the offset after the newest record that was read.
-	nextOffset int64
+	// next is the position after the newest record that was read.
+	next sharedlog.Position
 	// lastRecordAt is when the newest record arrived; lastReadSentAt is when the last
 	// successful read was sent.
 	lastRecordAt, lastReadSentAt time.Duration
@@ -66,8 +66,11 @@
 type notices struct{ heartbeat, members []byte }
 
 // apply updates the table from a batch of records and returns the last notices in it.
-// sentAt is when the read was sent.
+// sentAt is when the read was sent. An assignment that was restored with an older copy of
+// the shared log does not replace a known one: the known one is the newer of the two, and
+// the notices beside the restored one are as old.
 func (t *Table) apply(batch sharedlog.Batch, sentAt, now time.Duration) (n notices) {
+	restored := false
 	for _, record := range batch.Records {
 		switch record.Key {
 		case keyHeartbeat:
@@ -82,15 +85,21 @@
 				continue
 			}
 			t.undecodable.Store(false)
-			t.set(assignment)
+			restored = assignment.Era < batch.Era && t.current.Load() != nil
+			if !restored {
+				t.set(assignment)
+			}
 		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.nextOffset, t.lastReadSentAt = batch.Next, max(t.lastReadSentAt, sentAt)
+	t.next, t.lastReadSentAt = batch.NextPosition(), max(t.lastReadSentAt, sentAt)
 	if len(batch.Records) > 0 {
 		t.lastRecordAt = now
 	}
+	if restored {
+		return notices{}
+	}
 	return n
 }
 
@@ -102,11 +111,18 @@
 }
 
 // holderSilence returns for how long the lease holder has written nothing although reads
-// succeeded, and the offset at which a claim must be appended.
-func (t *Table) holderSilence() (time.Duration, int64) {
+// succeeded, and the position at which a claim must be appended.
+func (t *Table) holderSilence() (time.Duration, sharedlog.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastReadSentAt - t.lastRecordAt, t.next
+}
+
+// era returns the era of the shared log as of the newest read.
+func (t *Table) era() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lastReadSentAt - t.lastRecordAt, t.nextOffset
+	return t.next.Era
 }
 
 // recordAndReadTimes returns when the newest record arrived, and when the last
--- a/internal/keyrange/keyrange.go
+++ b/internal/keyrange/keyrange.go
@@ -57,6 +57,9 @@
 	Holder  string // VM instance that holds the assignment lease; empty: none
 	Address string // HOST:PORT at which other VMs reach the lease holder
 	Fence   int64  // highest fencing token in use
+	// Era is the era of the shared log in which the record was written. A record of an
+	// earlier era than the log's was restored with an older copy: later grants may exist.
+	Era int64
 	// Services are the entries by service, sorted by range.
 	Services map[string][]Entry
 }
@@ -82,6 +85,17 @@
 	return &c
 }
 
+// Unowned returns a copy of the assignment in which no range has an owner.
+func (a *Assignment) Unowned() *Assignment {
+	c := a.Clone()
+	for _, entries := range c.Services {
+		for i := range entries {
+			entries[i] = Entry{Range: entries[i].Range}
+		}
+	}
+	return c
+}
+
 // Weight is the load of each part of a key space. A part is PartSize adjacent keys.
 type Weight [Parts]float64
 
--- a/internal/keyrange/record.go
+++ b/internal/keyrange/record.go
@@ -18,6 +18,7 @@
 	Holder   string                   `cbor:"1,keyasint"`
 	Address  string                   `cbor:"4,keyasint,omitempty"`
 	Fence    int64                    `cbor:"2,keyasint"`
+	Era      int64                    `cbor:"7,keyasint,omitempty"`
 	Owners   []recordOwner            `cbor:"5,keyasint,omitempty"`
 	Services map[string][]recordEntry `cbor:"6,keyasint,omitempty"`
 }
@@ -46,7 +47,7 @@
 // service don't cover its key space exactly once.
 func (a *Assignment) Encode() ([]byte, error) {
 	r := record{
-		Format: recordFormat, Holder: a.Holder, Address: a.Address, Fence: a.Fence,
+		Format: recordFormat, Holder: a.Holder, Address: a.Address, Fence: a.Fence, Era: a.Era,
 		Services: make(map[string][]recordEntry, len(a.Services)),
 	}
 	ownerNumbers := make(map[recordOwner]int)
@@ -86,7 +87,7 @@
 	if r.Format != recordFormat {
 		return nil, errors.Errorf("decode assignment: record has format %d, want %d", r.Format, recordFormat)
 	}
-	a := &Assignment{Holder: r.Holder, Address: r.Address, Fence: r.Fence, Services: make(map[string][]Entry, len(r.Services))}
+	a := &Assignment{Holder: r.Holder, Address: r.Address, Fence: r.Fence, Era: r.Era, Services: make(map[string][]Entry, len(r.Services))}
 	for service, list := range r.Services {
 		entries := make([]Entry, len(list))
 		next := 0
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -35,6 +35,7 @@
 	recent     []sharedlog.Record
 	recentFrom int64 // recent is complete from this offset on, except for unchanged records and superseded ones of a key
 	next       int64 // offset after the newest record
+	era        int64 // era of all offsets
 	info       directory.BatchInfo
 }
 
@@ -92,7 +93,7 @@
 		t.recent = append([]sharedlog.Record(nil), t.recent[extra:]...)
 	}
 	wake = wake || info.ConfirmedAt > t.info.ConfirmedAt
-	t.next = b.Next
+	t.next, t.era = b.Next, b.Era
 	t.info = directory.BatchInfo{ConfirmedAt: max(t.info.ConfirmedAt, info.ConfirmedAt), FailedAt: info.FailedAt}
 	if wake {
 		close(c.changed)
@@ -108,10 +109,10 @@
 }
 
 // read returns the records of a topic from the cursor on, or a snapshot if these are no
-// longer kept or the cursor lies beyond the cached records. The second result reports
-// whether the poll is to be answered at once. It is false for a cursor beyond the cached
-// records, since the polling VM ignores batches behind its cursor.
-func (c *Cache) read(topic string, cursor int64) (topicReply, bool) {
+// longer kept, or the cursor lies beyond the cached records or in another era. The second
+// result reports whether the poll is to be answered at once. It is false for a cursor beyond
+// the cached records, since the polling VM ignores batches behind its cursor.
+func (c *Cache) read(topic string, cursor sharedlog.Position) (topicReply, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topics[topic]
@@ -120,19 +121,20 @@
 	}
 	now := c.now()
 	// Milliseconds rounds down, so 1 is added: an age must not be understated.
-	reply := topicReply{Next: t.next, AgeMs: (now - t.info.ConfirmedAt).Milliseconds() + 1, FailedMs: -1}
+	reply := topicReply{Era: t.era, Next: t.next, AgeMs: (now - t.info.ConfirmedAt).Milliseconds() + 1, FailedMs: -1}
 	if t.info.FailedAt != 0 {
 		reply.FailedMs = (now - t.info.FailedAt).Milliseconds()
 	}
-	if cursor < t.recentFrom || cursor > t.next {
+	next := sharedlog.Position{Era: t.era, Offset: t.next}
+	if cursor.Era != t.era || cursor.Offset < t.recentFrom || cursor.Offset > t.next {
 		reply.Snapshot = true
 		for _, record := range t.newest {
 			reply.Records = append(reply.Records, wireRecord(record))
 		}
-		return reply, cursor <= t.next
+		return reply, !next.Before(cursor)
 	}
 	for _, record := range t.recent {
-		if record.Offset >= cursor {
+		if record.Offset >= cursor.Offset {
 			reply.Records = append(reply.Records, wireRecord(record))
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,11 +57,17 @@
 	batchDelay = 5 * time.Millisecond
 )
 
+// noCursor is the offset that a VM without any record of a topic states in a poll.
+const noCursor = -1
+
 var errNoRelay = errors.New("no relay to poll: no address is known, or this VM is the lease holder")
 
 // poll is the message by which a VM asks its relay for records.
 type poll struct {
+	// Cursors are the offsets of the next records by topic, or -1 before the first record.
+	// Eras are the eras of these offsets, where they are not 0.
 	Cursors map[string]int64 `cbor:"1,keyasint"`
+	Eras    map[string]int64 `cbor:"5,keyasint,omitempty"`
 	// Reports are encoded reports on their way to the lease holder: the VM's own and
 	// those of VMs that poll it.
 	Reports [][]byte `cbor:"2,keyasint,omitempty"`
@@ -84,6 +90,7 @@
 	Records  []record `cbor:"1,keyasint,omitempty"`
 	Snapshot bool     `cbor:"2,keyasint,omitempty"`
 	Next     int64    `cbor:"3,keyasint"`
+	Era      int64    `cbor:"6,keyasint,omitempty"` // era of all offsets of the topic
 	// AgeMs is the time in ms since a read of the shared log confirmed that the topic
 	// held no further records.
 	AgeMs int64 `cbor:"4,keyasint"`
@@ -127,7 +134,7 @@
 	confirmedAt := c.now() - time.Duration(p.AgeMs)*time.Millisecond
 	for {
 		changed := c.nextChange()
-		reply, answerNow := c.collect(p.Cursors)
+		reply, answerNow := c.collect(&p)
 		if answerNow || c.now()-reply.age() >= confirmedAt+minConfirmationGain {
 			return reply
 		}
@@ -135,7 +142,7 @@
 		case <-ctx.Done():
 			return reply
 		case <-timer.C:
-			reply, _ = c.collect(p.Cursors)
+			reply, _ = c.collect(&p)
 			return reply
 		case <-changed:
 			time.Sleep(batchDelay)
@@ -154,11 +161,11 @@
 
 // collect reads all topics of a poll, and reports whether any of them is to be answered
 // at once.
-func (c *Cache) collect(cursors map[string]int64) (pollReply, bool) {
-	reply := pollReply{Topics: make(map[string]topicReply, len(cursors))}
+func (c *Cache) collect(p *poll) (pollReply, bool) {
+	reply := pollReply{Topics: make(map[string]topicReply, len(p.Cursors))}
 	answerNow := false
-	for topic, cursor := range cursors {
-		answer, topicChanged := c.read(topic, cursor)
+	for topic, offset := range p.Cursors {
+		answer, topicChanged := c.read(topic, sharedlog.Position{Era: p.Eras[topic], Offset: offset})
 		reply.Topics[topic] = answer
 		answerNow = answerNow || topicChanged
 	}
@@ -223,7 +230,8 @@
 func (c *Client) pause(f *directory.Follower) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.mode == modeDirect || c.mode == modeStarting && (f == c.AddressFollower || f.Cursor() < 0) {
+	_, started := f.Cursor()
+	if c.mode == modeDirect || c.mode == modeStarting && (f == c.AddressFollower || !started) {
 		return nil
 	}
 	return c.directReads
@@ -290,13 +298,20 @@
 func (c *Client) poll(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, maxPollWait+pollMargin)
 	defer cancel()
-	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Reports: c.Reports()}
+	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64), Reports: c.Reports()}
 	if c.Active() {
 		request.WaitMs = maxPollWait.Milliseconds()
 		request.AgeMs = (c.Now() - c.confirmedAt).Milliseconds()
 	}
 	for _, f := range c.Followers {
-		request.Cursors[f.Topic] = f.Cursor()
+		next, started := f.Cursor()
+		if !started {
+			next.Offset = noCursor
+		}
+		request.Cursors[f.Topic] = next.Offset
+		if next.Era != 0 {
+			request.Eras[f.Topic] = next.Era
+		}
 	}
 	sentAt := c.Now()
 	var reply pollReply
@@ -335,7 +350,7 @@
 // deliver passes the answer for one topic to its follower. The relay made the answer at
 // the time answeredAt or later.
 func (c *Client) deliver(f *directory.Follower, answer topicReply, answeredAt time.Duration) {
-	batch := sharedlog.Batch{Next: answer.Next, End: answer.Next}
+	batch := sharedlog.Batch{Era: answer.Era, Next: answer.Next, End: answer.Next}
 	for _, r := range answer.Records {
 		batch.Records = append(batch.Records, sharedlog.Record{Key: r.Key, Offset: r.Offset, Value: r.Value})
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -66,20 +66,20 @@
 	l.records = append(l.records, sharedlog.Record{Key: key, Value: []byte(value), Offset: int64(len(l.records))})
 }
 
-func (l *countingLog) Append(context.Context, string, []sharedlog.Record, int64) (int64, error) {
-	return 0, nil
+func (l *countingLog) Append(context.Context, string, []sharedlog.Record, sharedlog.Position) (sharedlog.Position, error) {
+	return sharedlog.Position{}, nil
 }
 
-func (l *countingLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (sharedlog.Batch, error) {
+func (l *countingLog) Read(_ context.Context, _ string, from sharedlog.Position, _ time.Duration) (sharedlog.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	next := int64(len(l.records))
-	return sharedlog.Batch{Records: append([]sharedlog.Record(nil), l.records[min(from, next):]...), Next: next, End: next}, nil
+	return sharedlog.Batch{Records: append([]sharedlog.Record(nil), l.records[min(from.Offset, next):]...), Next: next, End: next}, nil
 }
 
 func (l *countingLog) Newest(ctx context.Context, topic string) (sharedlog.Batch, error) {
-	return l.Read(ctx, topic, 0, 0)
+	return l.Read(ctx, topic, sharedlog.Position{}, 0)
 }
 
 func (l *countingLog) count() int {
@@ -148,11 +148,11 @@
 	fake := &clock.Fake{Time: time.Minute}
 	cache := NewCache(fake.Now, nil)
 	cache.put("t", sharedlog.Batch{Next: 5}, directory.BatchInfo{Snapshot: true, ConfirmedAt: fake.Time})
-	reply, _ := cache.read("t", 5)
+	reply, _ := cache.read("t", sharedlog.Position{Offset: 5})
 	is.True(reply.AgeMs <= 1)
 	fake.Time += 3 * time.Second
 	cache.put("t", sharedlog.Batch{Next: 5}, directory.BatchInfo{ConfirmedAt: fake.Time - time.Hour, FailedAt: fake.Time})
-	reply, _ = cache.read("t", 5)
+	reply, _ = cache.read("t", sharedlog.Position{Offset: 5})
 	is.True(reply.AgeMs >= 3000)
 	is.Equal(reply.FailedMs, int64(0))
 }
@@ -167,14 +167,14 @@
 	})
 	cache.put("t", sharedlog.Batch{Next: 1, Records: []sharedlog.Record{{Key: "a", Value: []byte("1")}}}, directory.BatchInfo{Snapshot: true})
 	cache.put("t", sharedlog.Batch{Next: 2, Records: []sharedlog.Record{{Key: "a", Offset: 1, Value: []byte("1")}}}, directory.BatchInfo{})
-	reply, answerNow := cache.read("t", 1)
+	reply, answerNow := cache.read("t", sharedlog.Position{Offset: 1})
 	is.True(!answerNow)
 	is.Equal(reply.Next, int64(2))
 	cache.put("t", sharedlog.Batch{Next: 3, Records: []sharedlog.Record{{Key: "a", Offset: 2}}}, directory.BatchInfo{})
-	reply, answerNow = cache.read("t", 2)
+	reply, answerNow = cache.read("t", sharedlog.Position{Offset: 2})
 	is.True(answerNow)
 	is.Equal(len(reply.Records), 1)
-	reply, _ = cache.read("t", -1)
+	reply, _ = cache.read("t", sharedlog.Position{Offset: noCursor})
 	is.True(reply.Snapshot)
 	is.Equal(len(reply.Records), 0)
 }
@@ -257,11 +257,11 @@
 	reads        *atomic.Int64
 }
 
-func (l failingLog) Append(context.Context, string, []sharedlog.Record, int64) (int64, error) {
-	return 0, errors.New("log unavailable")
+func (l failingLog) Append(context.Context, string, []sharedlog.Record, sharedlog.Position) (sharedlog.Position, error) {
+	return sharedlog.Position{}, errors.New("log unavailable")
 }
 
-func (l failingLog) Read(context.Context, string, int64, time.Duration) (sharedlog.Batch, error) {
+func (l failingLog) Read(context.Context, string, sharedlog.Position, time.Duration) (sharedlog.Batch, error) {
 	return sharedlog.Batch{}, errors.New("log unavailable")
 }
 
@@ -280,3 +280,24 @@
 		t.Errorf("records may be %s old, more than a leaving backend server allows", age)
 	}
 }
+
+// TestRelayAfterRestore guards against a relay that answers a VM with records of a restored
+// log as if they followed those of the log before, or that keeps the VM waiting for them.
+func TestRelayAfterRestore(t *testing.T) {
+	is := is.New(t)
+	cache := NewCache(clock.System{}.Now, nil)
+	before := sharedlog.Position{Offset: 9}
+	cache.put("t", sharedlog.Batch{Records: []sharedlog.Record{{Key: "k", Offset: 8, Value: []byte("lost")}}, Next: 9}, directory.BatchInfo{Snapshot: true})
+	cache.put("t", sharedlog.Batch{Records: []sharedlog.Record{{Key: "k", Offset: 4, Value: []byte("kept")}}, Era: 1, Next: 5}, directory.BatchInfo{Snapshot: true, Restored: true})
+	reply, answerNow := cache.read("t", before)
+	is.True(answerNow)
+	is.True(reply.Snapshot)
+	is.Equal(reply.Era, int64(1))
+	is.Equal(string(reply.Records[0].Value), "kept")
+	cache.put("t", sharedlog.Batch{Records: []sharedlog.Record{{Key: "k", Offset: 5, Value: []byte("new")}}, Era: 1, Next: 12}, directory.BatchInfo{})
+	reply, _ = cache.read("t", before) // its offset exists again
+	is.True(reply.Snapshot)
+	// A VM that is ahead of its relay must not be answered at once, again and again.
+	_, answerNow = cache.read("t", sharedlog.Position{Era: 2, Offset: 1})
+	is.True(!answerNow)
+}
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -50,12 +51,13 @@
 	allocator        *share.Allocator
 	weights          map[string]*keyrange.Weight // load of the keys, by service
 	speeds           *speedModel
+	leaving          map[string]int64   // start of the process of leaving owners of keys, by ID
 	decayedAt        time.Duration      // when weights last decayed
 	stopFollower     context.CancelFunc // ends the reads of the report topic; nil if there are none
 }
 
 func newCollector(r *Router) *collector {
-	return &collector{router: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight), speeds: newSpeedModel()}
+	return &collector{router: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight), speeds: newSpeedModel(), leaving: make(map[string]int64)}
 }
 
 // run sends reports until ctx ends or the VM stops. While a relay is in use, reports are
@@ -149,6 +151,7 @@
 		Member: share.Member{VM: c.router.options.VM, Domain: c.router.options.Domain, Address: c.router.options.PeerListen},
 		Demand: c.router.limiter.Demand(c.router.clock.Now()), Keys: c.router.forwarder.TakeKeyCounts(),
 		Counts: c.router.limiter.TakeCounts(), Latencies: c.router.servers.TakeLatencies(c.isKeyed),
+		Leaving: c.router.servers.LeavingOwners(),
 	})
 }
 
@@ -196,6 +199,7 @@
 	for _, latency := range report.Latencies {
 		c.speeds.observe(latency, now)
 	}
+	maps.Copy(c.leaving, report.Leaving)
 }
 
 // withdrawReport removes this VM's report from the shared log, so that its shares go to
@@ -283,16 +287,25 @@
 // list of members.
 func (c *collector) encodeNotices() (heartbeat, members []byte) {
 	var workspaces []fleet.Workspace
+	var version int64
 	if view := c.router.directory.View(); view != nil {
-		workspaces = view.Config.Workspaces
+		workspaces, version = view.Config.Workspaces, view.Config.Version
 	}
 	c.mu.Lock()
 	list := c.allocator.Members(c.router.clock.Now())
 	allotment := c.allocator.Allot(workspaces, list, c.router.clock.Now())
 	c.mu.Unlock()
+	allotment.ConfigVersion = version
 	return c.encodeNotice(allotment), c.encodeNotice(list)
 }
 
+// isLeaving reports whether a VM has learned from an answer that the backend server leaves.
+// The caller holds the lock.
+func (c *collector) isLeaving(b *directory.Backend) bool {
+	started, ok := c.leaving[b.ID]
+	return ok && started == b.Started
+}
+
 func (c *collector) encodeNotice(v any) []byte {
 	content, err := share.Encode(v)
 	if err != nil {
@@ -316,6 +329,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.speeds.dropStale(now)
+	maps.DeleteFunc(c.leaving, func(id string, started int64) bool { return view.Backends[id].Started != started })
 	for id, backend := range view.Backends {
 		if _, keyed := input.Servers[backend.Service]; !keyed {
 			continue
@@ -325,7 +339,7 @@
 			capacity *= coldCapacityRatio
 		}
 		input.Servers[backend.Service] = append(input.Servers[backend.Service], keylease.Server{
-			ID: id, Address: backend.Address, Started: backend.Started, Usable: view.Usable(&backend), Capacity: capacity,
+			ID: id, Address: backend.Address, Started: backend.Started, Usable: view.Usable(&backend) && !c.isLeaving(&backend), Capacity: capacity,
 		})
 	}
 	for service, weight := range c.weights {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,6 +42,8 @@
 	VM       string
 	Instance string // unique to each process
 	Domain   string
+	// FirstStart is set if no VM of the fleet has run before.
+	FirstStart bool
 
 	FrontListen   string
 	ReadyListen   string
@@ -59,6 +61,7 @@
 
 	MaxConnections int
 	Grace          time.Duration // time from the stop signal to the exit of the process
+	DrainWithin    time.Duration // time within which a leaving backend server must get no further requests
 	RevokeWithin   time.Duration // time within which a withdrawn caller key stops working
 	RetryRatio     float64       // fleet-wide ratio of retries to requests
 	RetrySlack     float64       // number of retries allowed beyond RetryRatio
@@ -123,6 +126,7 @@
 	r.limiter = share.NewLimiter(o.VM, o.QuotaTolerance)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.servers = forward.NewServers(r.clock, o.Domain, o.Cold, o.Protocol, random, r.limiter.VMCount)
+	r.servers.KeyedLeaveGrace = o.DrainWithin
 	m, err := metrics.New(r.metricsState)
 	if err != nil {
 		return nil, err
@@ -137,7 +141,7 @@
 	r.collector = newCollector(r)
 	r.lessor = keylease.NewLessor(keylease.LessorOptions{
 		Log: o.Log, Topic: o.LeaseTopic, Granter: o.Granter, Clock: r.clock, Table: r.table,
-		Instance: o.Instance, Address: o.PeerListen, Logger: r.log, ConfigKnown: r.configKnown, Input: r.collector.assignmentInput, Wake: r.directory.Changed,
+		Instance: o.Instance, Address: o.PeerListen, FirstStart: o.FirstStart, Logger: r.log, ConfigKnown: r.configKnown, Input: r.collector.assignmentInput, Wake: r.directory.Changed,
 		Notices: r.collector.encodeNotices, OnHeartbeat: r.onHeartbeat, OnMembers: r.onMembers, OnLeaseChange: r.onLeaseChange,
 	})
 	r.setUpRelay()
@@ -358,7 +362,8 @@
 	}
 }
 
-// onHeartbeat applies the allotment that a heartbeat carries.
+// onHeartbeat applies the allotment and the version of the configuration that a heartbeat
+// carries.
 func (r *Router) onHeartbeat(content []byte) {
 	var allotment share.Allotment
 	if err := share.Decode(content, &allotment); err != nil {
@@ -366,6 +371,7 @@
 		return
 	}
 	r.limiter.SetAllotment(allotment)
+	r.directory.RequireVersion(allotment.ConfigVersion)
 }
 
 // onLeaseChange is called when this VM acquires or loses the assignment lease. The metrics
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -57,6 +57,9 @@
 	// Latencies are the latencies of backend servers of keyed services since the last
 	// report.
 	Latencies []Latency `cbor:"4,keyasint,omitempty"`
+	// Leaving are the owners of keys that have said in an answer that they leave: the start
+	// of the process as Unix time in ms, by ID.
+	Leaving map[string]int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Allotment is the division of the rates of all workspaces among the VMs.
@@ -71,6 +74,8 @@
 	Shares map[string][]float32 `cbor:"2,keyasint,omitempty"`
 	// OverRate lists the workspaces whose demand exceeds their rate.
 	OverRate []string `cbor:"4,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration that the lease holder has in force.
+	ConfigVersion int64 `cbor:"7,keyasint,omitempty"`
 	// ActiveVMs is the number of VMs with demand for a workspace, where it exceeds
 	// minActiveVMs.
 	ActiveVMs map[string]int `cbor:"6,keyasint,omitempty"`
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -17,6 +18,10 @@
 	// A fault lasts minFaultDuration plus a random part of faultDurationRange.
 	minFaultDuration   = 200 * time.Millisecond
 	faultDurationRange = 4 * time.Second
+	// The time between two restores of the shared log is minRestoreGap plus a random part of
+	// restoreGapRange.
+	minRestoreGap   = 2 * time.Second
+	restoreGapRange = 6 * time.Second
 	// maxProxyDelay bounds the delay that a proxy in mode Delay adds to each read.
 	maxProxyDelay = 300 * time.Millisecond
 )
@@ -105,11 +110,63 @@
 		return nil
 	}},
 	{"failure domain evacuated", func(s *Soak, _ time.Duration) func() {
-		s.log.SetEvacuated(zones[0], true)
-		return func() { s.log.SetEvacuated(zones[0], false) }
+		s.setEvacuated(true)
+		return func() { s.setEvacuated(false) }
 	}},
 }
 
+// setEvacuated starts or ends the evacuation of the first failure domain.
+func (s *Soak) setEvacuated(evacuated bool) {
+	s.rewriting.Lock()
+	defer s.rewriting.Unlock()
+	s.evacuated = evacuated
+	s.log.SetEvacuated(zones[0], evacuated)
+}
+
+// copyLog takes copies of the shared log until ctx ends.
+func (s *Soak) copyLog(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		s.copies = append(s.copies, s.log.Copy())
+		s.copies = s.copies[max(0, len(s.copies)-maxCopies):]
+		s.mu.Unlock()
+		clock.Sleep(ctx, copyInterval)
+	}
+}
+
+// injectRestores restores the shared log from older copies at random times until ctx ends.
+// It has a random source of its own, so that the other faults of a seed stay the same.
+func (s *Soak) injectRestores(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.options.Seed, 78))
+	for {
+		clock.Sleep(ctx, minRestoreGap+time.Duration(random.Int64N(int64(restoreGapRange))))
+		if ctx.Err() != nil {
+			return
+		}
+		s.restoreLog(random.IntN(maxCopies))
+	}
+}
+
+// restoreLog takes the shared log back to the copy before the given number of later ones.
+// The operator writes again what it had written; the backend servers do so by themselves.
+func (s *Soak) restoreLog(age int) {
+	s.rewriting.Lock()
+	defer s.rewriting.Unlock()
+	s.mu.Lock()
+	age = min(age, len(s.copies)-1)
+	if age < 0 {
+		s.mu.Unlock()
+		return
+	}
+	older := s.copies[len(s.copies)-1-age]
+	s.copies = s.copies[:len(s.copies)-age] // later copies belong to the era before
+	s.mu.Unlock()
+	s.log.Restore(older)
+	s.recordEvent("shared log restored from a copy, %d later copies dropped", age)
+	s.writeConfig()
+	s.log.SetEvacuated(zones[0], s.evacuated)
+}
+
 func (s *Soak) randomVM() *vm           { return s.vms[s.random.IntN(len(s.vms))] }
 func (s *Soak) randomBackend() *backend { return s.backends[s.random.IntN(len(s.backends))] }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,6 +53,10 @@
 	resumeGrace = 300 * time.Millisecond
 	// tenantCount is the number of workspaces. Each starts with two caller keys.
 	tenantCount = 3
+	// copyInterval is the time between two copies of the shared log, and maxCopies the
+	// number of copies that are kept.
+	copyInterval = 500 * time.Millisecond
+	maxCopies    = 12
 )
 
 // Soak is the state of one soak run.
@@ -70,7 +74,13 @@
 	faultTimers []*time.Timer
 	faultEnds   []func()
 
+	// rewriting is held while the operator writes to the shared log, so that it writes
+	// again what a restore has lost in the order in which it was written.
+	rewriting sync.Mutex
+	evacuated bool // whether the first failure domain is evacuated
+
 	mu             sync.Mutex
+	copies         []platformtest.Copy             // of the shared log, the newest last
 	runs           map[string]int                  // number of runs by request ID
 	sent           map[string]platformtest.Request // by request ID
 	answeredNotRun map[string]int                  // by request ID: status of an answer that guarantees that it has not run
@@ -107,7 +117,12 @@
 	for i := range o.Clients {
 		wait.Go(func() { s.runClient(clients, i) })
 	}
+	go s.copyLog(clients)
+	restores, stopRestores := context.WithCancel(ctx)
+	defer stopRestores()
+	go s.injectRestores(restores)
 	s.injectFaults(ctx)
+	stopRestores()
 	s.endFaults()
 	clock.Sleep(ctx, settleTime)
 	s.startFinalPhase()
@@ -182,6 +197,13 @@
 // putConfig writes a new version of the configuration, with the caller keys that are not
 // withdrawn.
 func (s *Soak) putConfig() {
+	s.rewriting.Lock()
+	defer s.rewriting.Unlock()
+	s.writeConfig()
+}
+
+// writeConfig is putConfig for a caller that holds s.rewriting.
+func (s *Soak) writeConfig() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configVersion++
