Publish demand totals instead of a share for each VM and workspace

Cause: heartbeats listed the share of each VM in each workspace. Change: an allotment holds the sum of the demands of each workspace and the number of each member's report; a VM computes its share from its own demand in that report. A new lease holder repeats its predecessor's allotment until the VMs have reported. An allotment that is still larger than a record is replaced by even shares, with an error line. TestSharesSumToOne and TestSeedKeepsShares compute the shares through limiters now, since allotments don't list them; both check the sum too.

--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -147,9 +147,10 @@
 
 // encodeReport returns the encoded report of this VM, and starts new counts.
 func (c *collector) encodeReport() ([]byte, error) {
+	number, demand := c.router.limiter.NextReport(c.router.clock.Now())
 	return share.Encode(share.Report{
 		Member: share.Member{VM: c.router.options.VM, Domain: c.router.options.Domain, Address: c.router.options.PeerListen},
-		Demand: c.router.limiter.Demand(c.router.clock.Now()), Keys: c.router.forwarder.TakeKeyCounts(),
+		Number: number, Demand: demand, Keys: c.router.forwarder.TakeKeyCounts(),
 		Counts: c.router.limiter.TakeCounts(), Latencies: c.router.servers.TakeLatencies(c.isKeyed),
 		Leaving: c.router.servers.LeavingOwners(),
 	})
@@ -227,9 +228,7 @@
 	}
 	c.allocator = share.NewAllocator()
 	members, allotment := c.router.limiter.Current()
-	if view := c.router.directory.View(); view != nil {
-		c.allocator.Seed(members, allotment, view.Config.Workspaces, c.router.clock.Now())
-	}
+	c.allocator.Seed(members, allotment, c.router.clock.Now())
 	clear(c.weights)
 	c.speeds = newSpeedModel()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -296,7 +295,20 @@
 	allotment := c.allocator.Allot(workspaces, list, c.router.clock.Now())
 	c.mu.Unlock()
 	allotment.ConfigVersion = version
-	return c.encodeNotice(allotment), c.encodeNotice(list)
+	heartbeat, members = c.encodeNotice(allotment), c.encodeNotice(list)
+	if len(heartbeat) > c.maxNoticeBytes() {
+		// The shared log would reject it, and the assignment lease would be lost. Even shares
+		// are safe for all workspaces.
+		c.router.log.Error("allotment is larger than a record, all VMs get even shares", zap.Int("bytes", len(heartbeat)))
+		allotment.Workspaces = nil
+		heartbeat = c.encodeNotice(allotment)
+	}
+	return heartbeat, members
+}
+
+// maxNoticeBytes returns the size limit of an allotment. The rest of a record is its key.
+func (c *collector) maxNoticeBytes() int {
+	return c.router.options.MaxRecordBytes - len(c.router.options.LeaseTopic)
 }
 
 // isLeaving reports whether a VM has learned from an answer that the backend server leaves.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,12 +52,14 @@
 	PeerListen    string // HOST:PORT at which other VMs reach this one
 	LoadListen    string // HOST:PORT, UDP, for load reports; one above the port of PeerListen
 
-	Log         sharedlog.Log
-	Sources     directory.Sources
-	LeaseTopic  string
-	ReportTopic string
-	Granter     keylease.Granter
-	Protocol    Protocol
+	Log sharedlog.Log
+	// MaxRecordBytes is the size limit of a record of the shared log.
+	MaxRecordBytes int
+	Sources        directory.Sources
+	LeaseTopic     string
+	ReportTopic    string
+	Granter        keylease.Granter
+	Protocol       Protocol
 
 	MaxConnections int
 	Grace          time.Duration // time from the stop signal to the exit of the process
--- a/internal/share/allocator.go
+++ b/internal/share/allocator.go
@@ -29,6 +29,9 @@
 	// minDeviations is the number of standard deviations by which a count must exceed the
 	// rate before the workspace counts as over its rate.
 	minDeviations = 2
+	// seedPeriod is how long a new allocator keeps the allotment of its predecessor while it
+	// waits for reports. VMs report once a second, over a few relays.
+	seedPeriod = 2500 * time.Millisecond
 	// minRateFactor is the smallest fraction of a rate that is divided after a surge.
 	minRateFactor = 0.2
 )
@@ -39,6 +42,10 @@
 	reports map[string]*receivedReport
 	members Members
 	recent  map[string]*recentCounts
+	// seed is the allotment of the predecessor. It stays in force until seededUntil or until
+	// all its members have reported.
+	seed        *Allotment
+	seededUntil time.Duration
 }
 
 // recentCounts are the exponentially decaying numbers of requests of a workspace at all
@@ -64,22 +71,34 @@
 	return &Allocator{reports: make(map[string]*receivedReport), recent: make(map[string]*recentCounts)}
 }
 
-// Seed initializes the allocator with the members and shares of its predecessor, which
-// stand in for the reports of the VMs until these arrive. Otherwise the first VMs to
-// report would be taken for the whole fleet.
-func (a *Allocator) Seed(members Members, allotment Allotment, workspaces []fleet.Workspace, now time.Duration) {
+// Seed initializes the allocator with the members and the allotment of its predecessor,
+// which stay in force until the VMs have reported. Otherwise the first VMs to report would
+// be taken for the whole fleet.
+func (a *Allocator) Seed(members Members, allotment Allotment, now time.Duration) {
 	a.members = members
-	for i, member := range members.List {
-		demand := make(map[string]float32)
-		for _, w := range workspaces {
-			if shares := allotment.Shares[w.Name]; allotment.Epoch == members.Epoch && i < len(shares) {
-				demand[w.Name] = shares[i] * float32(w.Rate)
-			}
-		}
-		a.Observe(Report{Member: member, Demand: demand}, now)
+	for _, member := range members.List {
+		a.reports[member.VM] = &receivedReport{report: Report{Member: member}, receivedAt: now}
+	}
+	if allotment.Epoch == members.Epoch && len(members.List) > 0 {
+		a.seed, a.seededUntil = &allotment, now+seedPeriod
 	}
 }
 
+// isSeeded reports whether the allotment of the predecessor is in force.
+func (a *Allocator) isSeeded(now time.Duration) bool {
+	if a.seed == nil {
+		return false
+	}
+	waiting := slices.ContainsFunc(a.members.List, func(m Member) bool {
+		r := a.reports[m.VM]
+		return r != nil && r.report.Number == 0
+	})
+	if now >= a.seededUntil || !waiting {
+		a.seed = nil
+	}
+	return a.seed != nil
+}
+
 // Observe replaces the report of a VM and adds its counts.
 func (a *Allocator) Observe(report Report, now time.Duration) {
 	a.reports[report.Member.VM] = &receivedReport{report: report, receivedAt: now}
@@ -113,6 +132,9 @@
 // Members returns the VMs with a report within reportTTL, under a new epoch if the list
 // has changed.
 func (a *Allocator) Members(now time.Duration) Members {
+	if a.isSeeded(now) {
+		return a.members
+	}
 	var list []Member
 	for vm, r := range a.reports {
 		if now-r.receivedAt > reportTTL {
@@ -132,8 +154,17 @@
 
 // Allot divides the rates of the workspaces among the members.
 func (a *Allocator) Allot(workspaces []fleet.Workspace, members Members, now time.Duration) Allotment {
+	if a.isSeeded(now) {
+		return *a.seed
+	}
 	allotment := Allotment{
-		Epoch: members.Epoch, Count: len(members.List), Shares: make(map[string][]float32), ActiveVMs: make(map[string]int),
+		Epoch: members.Epoch, Count: len(members.List), Reports: make([]byte, len(members.List)),
+		Workspaces: make(map[string]WorkspaceAllotment),
+	}
+	for i, member := range members.List {
+		if r := a.reports[member.VM]; r != nil {
+			allotment.Reports[i] = r.report.Number
+		}
 	}
 	for i := range workspaces {
 		w := &workspaces[i]
@@ -141,15 +172,17 @@
 		if w.Rate <= 0 || len(demands) == 0 {
 			continue
 		}
+		var entry WorkspaceAllotment
 		if active := countActive(demands); active > minActiveVMs {
-			allotment.ActiveVMs[w.Name] = active
+			entry.ActiveVMs = active
 		}
 		factor, over := a.rateFactor(w, now)
-		if shares := divide(w.Rate, factor, demands, total); shares != nil {
-			allotment.Shares[w.Name] = shares
+		entry.OverRate = over
+		if !evenShareSuffices(w.Rate, factor, demands, total) {
+			entry.Factor, entry.Demand = float32(factor), float32(total)
 		}
-		if over {
-			allotment.OverRate = append(allotment.OverRate, w.Name)
+		if entry != (WorkspaceAllotment{}) {
+			allotment.Workspaces[w.Name] = entry
 		}
 	}
 	return allotment
@@ -178,20 +211,19 @@
 	return n
 }
 
-// divide returns the shares of a workspace by member, or nil if an even share is enough
-// for each.
-func divide(rate, factor float64, demands []float64, total float64) []float32 {
+// evenShareSuffices reports whether an even share of a workspace's rate is enough for each
+// VM.
+func evenShareSuffices(rate, factor float64, demands []float64, total float64) bool {
 	even := 1 / float64(len(demands))
-	if factor == 1 && total < tightDemandRatio*rate && slices.Max(demands) < tightDemandRatio*rate*even {
-		return nil
-	}
-	shares := make([]float32, len(demands))
-	for i, demand := range demands {
-		part := even
-		if total > 0 {
-			part = evenFraction*even + (1-evenFraction)*demand/total
-		}
-		shares[i] = float32(factor * part)
+	return factor == 1 && total < tightDemandRatio*rate && slices.Max(demands) < tightDemandRatio*rate*even
+}
+
+// shareOf returns the share of a VM with the given demand among count VMs.
+func (w *WorkspaceAllotment) shareOf(demand float64, count int) float64 {
+	even := 1 / float64(count)
+	part := even
+	if w.Demand > 0 {
+		part = evenFraction*even + (1-evenFraction)*demand/float64(w.Demand)
 	}
-	return shares
+	return float64(w.Factor) * part
 }
--- a/internal/share/limiter.go
+++ b/internal/share/limiter.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -64,8 +65,16 @@
 	buckets   map[string]*bucket
 	demand    map[string]*meter
 	counts    map[string]Counts // since the last TakeCounts
+	// reported are the demands of the last reports by report number, of which lastNumber is
+	// the newest.
+	reported   map[uint8]map[string]float32
+	lastNumber uint8
 }
 
+// keptReports is the number of own reports whose demands are kept. An allotment names one
+// that was sent within reportTTL.
+const keptReports = 8
+
 // bucket is a token bucket; one token admits one request.
 type bucket struct {
 	tokens    float64
@@ -91,9 +100,11 @@
 }
 
 // NewLimiter returns the limiter of the VM with the given name. Until it gets an
-// allotment, it assumes a fraction of an even share among assumedVMs VMs.
+// allotment, it assumes a fraction of an even share among assumedVMs VMs. Its report numbers
+// start at a random one, so that they are not taken for those of an earlier process.
 func NewLimiter(vm string, tolerance Tolerance) *Limiter {
-	return &Limiter{vm: vm, tolerance: tolerance, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter), counts: make(map[string]Counts)}
+	return &Limiter{vm: vm, tolerance: tolerance, index: -1, buckets: make(map[string]*bucket), demand: make(map[string]*meter), counts: make(map[string]Counts),
+		reported: make(map[uint8]map[string]float32), lastNumber: uint8(rand.N(256))}
 }
 
 // SetTolerance replaces the tolerance within which bursts are granted.
@@ -148,10 +159,19 @@
 	if l.index < 0 || l.members.Epoch != l.allotment.Epoch {
 		return even * unlistedFraction
 	}
-	if shares := l.allotment.Shares[workspace]; l.index < len(shares) {
-		return float64(shares[l.index])
+	entry := l.allotment.Workspaces[workspace]
+	if entry.Factor == 0 {
+		return even
+	}
+	if l.index >= len(l.allotment.Reports) {
+		return even * unlistedFraction
+	}
+	demand, ok := l.reported[l.allotment.Reports[l.index]]
+	if !ok {
+		// The allotment is based on a report of an earlier process of this VM, or on none.
+		return even * unlistedFraction
 	}
-	return even
+	return entry.shareOf(float64(demand[workspace]), l.vmCount())
 }
 
 // Decision is the result of Take, with the limits on which it is based.
@@ -216,7 +236,7 @@
 
 // overRate reports whether the demand for a workspace exceeds its rate. The caller must
 // hold the lock.
-func (l *Limiter) overRate(name string) bool { return slices.Contains(l.allotment.OverRate, name) }
+func (l *Limiter) overRate(name string) bool { return l.allotment.Workspaces[name].OverRate }
 
 // limit returns this VM's share of the rate of a workspace and its burst. The caller must
 // hold the lock.
@@ -225,7 +245,7 @@
 	extra := l.tolerance.Factor*(w.Rate*l.tolerance.Window.Seconds()+w.Burst) + l.tolerance.Slack
 	extra *= burstTolerance
 	total := w.Burst + extra
-	activeVMs := max(l.allotment.ActiveVMs[w.Name], min(l.vmCount(), minActiveVMs))
+	activeVMs := max(l.allotment.Workspaces[w.Name].ActiveVMs, min(l.vmCount(), minActiveVMs))
 	floor := float64(burstFloor)
 	if l.overRate(w.Name) {
 		floor = overRateBurstFloor
@@ -244,16 +264,24 @@
 	return counts
 }
 
-// Demand returns the estimated demand in requests per second, by workspace. It omits
-// workspaces with at most 0.05 requests per second.
-func (l *Limiter) Demand(now time.Duration) map[string]float32 {
+// NextReport returns the estimated demand in requests per second, by workspace, for the next
+// report, and the number of that report. It omits workspaces with at most 0.05 requests per
+// second. The caller must not change the map.
+func (l *Limiter) NextReport(now time.Duration) (uint8, map[string]float32) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]float32, len(l.demand))
+	demand := make(map[string]float32, len(l.demand))
 	for name, m := range l.demand {
 		if rate := m.rate(now); rate > 0.05 {
-			out[name] = float32(rate)
+			demand[name] = float32(rate)
 		}
 	}
-	return out
+	delete(l.reported, nextNumber(l.lastNumber, 255-keptReports))
+	l.lastNumber = nextNumber(l.lastNumber, 1)
+	l.reported[l.lastNumber] = demand
+	return l.lastNumber, demand
 }
+
+// nextNumber returns the report number that follows n by the given distance. Numbers run
+// from 1 to 255.
+func nextNumber(n uint8, distance int) uint8 { return uint8((int(n)-1+255+distance)%255 + 1) }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -47,6 +47,9 @@
 // Report is what one VM publishes about its demand and latencies.
 type Report struct {
 	Member Member `cbor:"1,keyasint"`
+	// Number identifies the demand of the report in an allotment. It is not 0, and starts
+	// over after 255.
+	Number uint8 `cbor:"7,keyasint,omitempty"`
 	// Demand is the demand in requests per second by workspace; it includes rejected
 	// requests.
 	Demand map[string]float32 `cbor:"2,keyasint,omitempty"`
@@ -62,23 +65,38 @@
 	Leaving map[string]int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Allotment is the division of the rates of all workspaces among the VMs.
+// Allotment is the division of the rates of all workspaces among the VMs. It does not list
+// the shares, whose number is that of the VMs times that of the workspaces: each VM computes
+// its own ones from its demand in the report that the allotment names, and from the sum of
+// all demands. So the shares of one workspace sum to at most one.
 type Allotment struct {
-	// Epoch is the epoch of the list of members that the shares refer to.
+	// Epoch is the epoch of the list of members that the allotment refers to.
 	Epoch int64 `cbor:"1,keyasint"`
 	// Count is the number of members.
 	Count int `cbor:"3,keyasint"`
-	// Shares are the shares of each workspace that is tight (see tightDemandRatio) or whose
-	// rate is reduced after a surge, in the order of the members. Every VM has an even share
-	// of the other workspaces.
-	Shares map[string][]float32 `cbor:"2,keyasint,omitempty"`
-	// OverRate lists the workspaces whose demand exceeds their rate.
-	OverRate []string `cbor:"4,keyasint,omitempty"`
+	// Reports are the numbers of the reports that the demands are from, in the order of the
+	// members; 0 if there is none of the member.
+	Reports []byte `cbor:"8,keyasint,omitempty"`
+	// Workspaces are the workspaces of which not every VM has an even share or that have a
+	// property to publish.
+	Workspaces map[string]WorkspaceAllotment `cbor:"9,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration that the lease holder has in force.
 	ConfigVersion int64 `cbor:"7,keyasint,omitempty"`
-	// ActiveVMs is the number of VMs with demand for a workspace, where it exceeds
-	// minActiveVMs.
-	ActiveVMs map[string]int `cbor:"6,keyasint,omitempty"`
+}
+
+// WorkspaceAllotment is the division of the rate of one workspace. It is encoded as an
+// array, so the order of its fields is part of the format.
+type WorkspaceAllotment struct {
+	_ struct{} `cbor:",toarray"`
+	// Factor is the fraction of the rate that is divided, which is less than 1 after a
+	// surge. It is 0 if every VM has an even share of the rate.
+	Factor float32
+	// Demand is the sum of the demands in the reports, in requests per second.
+	Demand float32
+	// OverRate is set if the demand exceeds the rate.
+	OverRate bool
+	// ActiveVMs is the number of VMs with demand, where it exceeds minActiveVMs.
+	ActiveVMs int
 }
 
 // Encode returns the encoded form of v: a report, a list of members or an allotment.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -15,26 +15,41 @@
 var tolerance = Tolerance{Window: 5 * time.Second, Factor: 0.1, Slack: 20}
 
 func report(vm string, demand float64) Report {
-	return Report{Member: Member{VM: vm, Domain: "d"}, Demand: map[string]float32{"w": float32(demand)}}
+	return Report{Member: Member{VM: vm, Domain: "d"}, Number: 1, Demand: map[string]float32{"w": float32(demand)}}
+}
+
+// shareAt returns the share of workspace "w" at the VM of a report, as its limiter computes
+// it from an allotment.
+func shareAt(r Report, members Members, allotment Allotment) float64 {
+	l := NewLimiter(r.Member.VM, tolerance)
+	l.reported[r.Number] = r.Demand
+	l.SetMembers(members)
+	l.SetAllotment(allotment)
+	return l.share("w")
 }
 
 // TestSharesSumToOne guards against shares that together exceed the rate of a workspace.
 func TestSharesSumToOne(t *testing.T) {
 	is := is.New(t)
 	a := NewAllocator()
+	var reports []Report
 	for i := range 7 {
-		a.Observe(report(fmt.Sprint(i), float64(i*i)), 0)
+		reports = append(reports, report(fmt.Sprint(i), float64(i*i)))
+		a.Observe(reports[i], 0)
 	}
 	members := a.Members(0)
 	is.Equal(len(members.List), 7)
 	allotment := a.Allot([]fleet.Workspace{{Name: "w", Rate: 50}, {Name: "idle", Rate: 50}, {Name: "free"}}, members, 0)
 	sum := 0.0
-	for _, share := range allotment.Shares["w"] {
-		sum += float64(share)
+	for i, r := range reports {
+		share := shareAt(r, members, allotment)
+		is.True(i == 0 || share > shareAt(reports[i-1], members, allotment)) // by demand
+		sum += share
 	}
 	is.True(sum < 1.0001)
 	is.True(sum > 0.9)
-	is.Equal(allotment.Shares["idle"], nil)
+	_, listed := allotment.Workspaces["idle"]
+	is.True(!listed)
 	is.Equal(a.Members(time.Minute).List, nil)
 }
 
@@ -44,20 +59,26 @@
 	is := is.New(t)
 	workspaces := []fleet.Workspace{{Name: "w", Rate: 50}}
 	old := NewAllocator()
+	var reports []Report
 	for i := range 10 {
-		old.Observe(report(fmt.Sprint(i), float64(i)), 0)
+		reports = append(reports, report(fmt.Sprint(i), float64(i)))
+		old.Observe(reports[i], 0)
 	}
 	members := old.Members(0)
 	allotment := old.Allot(workspaces, members, 0)
 	next := NewAllocator()
-	next.Seed(members, allotment, workspaces, time.Second)
+	next.Seed(members, allotment, time.Second)
 	next.Observe(report("3", 3), 2*time.Second)
 	after := next.Members(2 * time.Second)
 	is.Equal(after, members)
-	shares := next.Allot(workspaces, after, 2*time.Second).Shares["w"]
-	for i, share := range shares {
-		is.True(share > 0.7*allotment.Shares["w"][i])
+	seeded := next.Allot(workspaces, after, 2*time.Second)
+	sum := 0.0
+	for _, r := range reports {
+		share := shareAt(r, after, seeded)
+		is.True(share > 0.7*shareAt(r, members, allotment))
+		sum += share
 	}
+	is.True(sum < 1.0001)
 	// VMs that never report are dropped, under a new epoch.
 	last := next.Members(6500 * time.Millisecond)
 	is.Equal(len(last.List), 1)
@@ -129,7 +150,8 @@
 				}
 			}
 			if now%time.Second == time.Duration(i)*step%time.Second {
-				a.Observe(Report{Member: Member{VM: fmt.Sprint(i), Domain: "d"}, Demand: l.Demand(now), Counts: l.TakeCounts()}, now)
+				number, demand := l.NextReport(now)
+				a.Observe(Report{Member: Member{VM: fmt.Sprint(i), Domain: "d"}, Number: number, Demand: demand, Counts: l.TakeCounts()}, now)
 			}
 		}
 		if now%(800*time.Millisecond) == 0 {
@@ -251,3 +273,34 @@
 		}
 	}
 }
+
+// TestAllotmentSize guards against a heartbeat that outgrows a record of the shared log: with
+// a share for each VM and workspace, one of 295 VMs and 190 workspaces had over 262,144 bytes,
+// and the lease holder lost its lease because no heartbeat was accepted.
+func TestAllotmentSize(t *testing.T) {
+	for _, vms := range []int{30, 300, 1000, 4100} {
+		a := NewAllocator()
+		workspaces := make([]fleet.Workspace, vms*2/3)
+		demand := make(map[string]float32)
+		for i := range workspaces {
+			workspaces[i] = fleet.Workspace{Name: fmt.Sprintf("tenant-%05d", i), Rate: 20, Burst: 20}
+			demand[workspaces[i].Name] = 15.5 / float32(vms)
+		}
+		for i := range vms {
+			a.Observe(Report{Member: Member{VM: fmt.Sprintf("front-guediawaye-%d", i), Domain: "guediawaye", Address: "10.255.255.255:65535"}, Number: 1, Demand: demand}, 0)
+		}
+		members := a.Members(0)
+		content, err := Encode(a.Allot(workspaces, members, 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		list, err := Encode(members)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d VMs, %d workspaces: heartbeat %d bytes, members %d bytes", vms, len(workspaces), len(content), len(list))
+		if bound := 262144; len(content) > bound || len(list) > bound {
+			t.Errorf("%d VMs: heartbeat %d bytes, members %d bytes, a record holds %d", vms, len(content), len(list), bound)
+		}
+	}
+}
