Answer every request that is read while a VM stops

Cause: 2.8 s after the stop signal idle connections were half-closed and read on for 500 ms; a request that crossed the close was read whole and dropped. Besides, the connection was closed at once when a further request arrived behind the last answer, which resets it and can lose that answer; and connections over the limit were closed without a word.

Change: idle connections stay open for one more answer with Connection: close. In the last 1.5 s before the exit requests are rejected as not run. At the end, connections on which no byte of a request was read are closed at once, so that the request counts as not read. 32 connections over the limit get 503.

A stop takes the whole grace period if callers keep silent connections.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fireflyfield/internal/callerkey"
@@ -66,6 +67,8 @@
 type Forwarder struct {
 	Options
 
+	rejectNew atomic.Bool
+
 	mu        sync.Mutex
 	random    *rand.Rand
 	routes    map[string]*routeState
@@ -133,9 +136,16 @@
 	return f.runAttempts(ctx, attempts, rs)
 }
 
+// RejectNew makes the forwarder reject all further requests, since the process ends before
+// they could be answered.
+func (f *Forwarder) RejectNew() { f.rejectNew.Store(true) }
+
 // admit checks the configuration's age, the route, the caller key and the rate. It
 // returns the rejection, or nil if the request is admitted.
 func (f *Forwarder) admit(ctx context.Context, rs *requestState) *Answer {
+	if f.rejectNew.Load() {
+		return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "vm-stops")
+	}
 	age := f.Directory.ConfigAge()
 	rs.event.ConfigAge = age
 	if rs.view == nil {
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -22,6 +22,9 @@
 	// lingerTimeout is how long input is still read after the last response. Closing a
 	// connection with unread bytes resets it, and the caller could lose the response.
 	lingerTimeout = 500 * time.Millisecond
+	// overLimitRetryAfter is the Retry-After header, in seconds, of a rejection because of
+	// the limit on connections.
+	overLimitRetryAfter = "0.2"
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4 << 10
 	// Limits that apply until a configuration is known.
@@ -43,11 +46,16 @@
 
 	responses chan *pendingResponse
 
+	// overLimit is set if the connection is open beyond the limit: its first request is
+	// rejected and ends it.
+	overLimit bool
+
 	mu sync.Mutex
 	// inProgress is the number of requests that were read and whose response is not yet
-	// being written.
+	// being written. reading is set while a request is being read.
 	inProgress int
-	// closing is set once no further request may be accepted.
+	reading    bool
+	// closing is set once the last response is known; later requests are not answered.
 	closing bool
 }
 
@@ -104,6 +112,10 @@
 // readRequests reads and handles requests until the connection ends.
 func (c *connection) readRequests() {
 	for {
+		if c.isClosing() {
+			c.discardUntilClose()
+			return
+		}
 		request, requestErr := c.readRequest()
 		if request == nil {
 			if requestErr != nil {
@@ -115,6 +127,14 @@
 		}
 		p := &pendingResponse{answer: make(chan *forward.Answer, 1), isHead: request.Method == http.MethodHead, last: request.last}
 		if !c.startRequest() {
+			c.discardUntilClose()
+			return
+		}
+		if c.overLimit {
+			p.last = true
+			p.answer <- overLimitAnswer()
+			c.responses <- p
+			c.discardUntilClose()
 			return
 		}
 		c.responses <- p
@@ -126,12 +146,29 @@
 	}
 }
 
-// startRequest counts a request and returns true, unless the connection is closing. A
-// request that arrives after the response that closes the connection is dropped; its
-// caller sends it again on another connection.
+// overLimitAnswer rejects the request of a connection over the limit, which has not run. The
+// caller's next connection reaches another VM.
+func overLimitAnswer() *forward.Answer {
+	return &forward.Answer{
+		Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {overLimitRetryAfter}}, Body: []byte("connection-limit\n"),
+	}
+}
+
+// beginReading notes that the first byte of a request has arrived. From here on the
+// connection is not idle.
+func (c *connection) beginReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+}
+
+// startRequest counts a request that was read and returns true, unless the last response of
+// the connection is known. A request behind that response counts as not read; its caller
+// sends it again on another connection.
 func (c *connection) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	if c.closing {
 		return false
 	}
@@ -142,6 +179,10 @@
 // discardUntilClose reads on after the last request, to detect that the caller leaves.
 func (c *connection) discardUntilClose() {
 	c.net.SetReadDeadline(time.Time{}) //nolint:errcheck // a closed connection ends the read below
+	// If the last response has been written already, nothing else ends the read.
+	if c.isClosing() {
+		c.stopReading(lingerTimeout)
+	}
 	c.limitedReader.remaining = maxLingerBytes
 	if _, err := io.Copy(io.Discard, c.reader); err == nil || !isTimeout(err) {
 		c.cancel()
@@ -185,15 +226,15 @@
 
 // finishRequest ends a request and reports whether its response is the last one of the
 // connection. While the server drains, that is the response after which no further
-// request has been read.
+// request has begun to arrive.
 func (c *connection) finishRequest(p *pendingResponse) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inProgress--
-	if p.last || c.server.draining.Load() && c.inProgress == 0 {
+	if p.last || c.server.draining.Load() && c.inProgress == 0 && !c.reading {
 		c.closing = true
 	}
-	return p.last || c.closing && c.inProgress == 0
+	return c.closing
 }
 
 // closeWrite closes the sending side of the connection.
@@ -208,17 +249,16 @@
 	c.net.SetReadDeadline(time.Now().Add(d)) //nolint:errcheck // a closed connection ends the reader by itself
 }
 
-// closeIfIdle closes the connection if no request is in progress.
+// closeIfIdle closes the connection at once if no byte of a request has been read and no
+// response is outstanding. A request that crosses the close was not read, so its caller
+// sends it again. Closing only the sending side would leave time to read a request that can
+// no longer be answered.
 func (c *connection) closeIfIdle() {
 	c.mu.Lock()
-	idle := c.inProgress == 0
-	if idle {
+	defer c.mu.Unlock()
+	if c.inProgress == 0 && !c.reading {
 		c.closing = true
-	}
-	c.mu.Unlock()
-	if idle {
-		c.closeWrite()
-		c.stopReading(lingerTimeout)
+		c.net.Close() //nolint:errcheck // nothing is outstanding on the connection
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -189,6 +189,111 @@
 	is.NoErr(ctx.Err())
 }
 
+// A request that has begun to arrive when idle connections are closed must be answered: it
+// was read and dropped once, and its caller waited for an answer in vain.
+func TestRequestDuringCloseIdle(t *testing.T) {
+	is := is.New(t)
+	s, c, r := startServer(t, handlerFunc(echo))
+	request := getRequest("1")
+	_, err := io.WriteString(c, request[:10])
+	is.NoErr(err)
+	for reading := false; !reading; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		for connection := range s.conns {
+			connection.mu.Lock()
+			reading = connection.reading
+			connection.mu.Unlock()
+		}
+		s.mu.Unlock()
+	}
+	s.Drain()
+	s.CloseIdle()
+	_, err = io.WriteString(c, request[10:])
+	is.NoErr(err)
+	response, body := readResponse(t, r)
+	is.Equal(body, "/1 ")
+	is.True(response.Close)
+}
+
+// A request on a connection that is closed as idle must not be read, so that its caller may
+// send it again whatever its kind.
+func TestRequestAfterCloseIdle(t *testing.T) {
+	is := is.New(t)
+	handled := make(chan struct{}, 1)
+	s, c, r := startServer(t, handlerFunc(func(ctx context.Context, q *forward.Request) *forward.Answer {
+		handled <- struct{}{}
+		return echo(ctx, q)
+	}))
+	for s.OpenConnections() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Drain()
+	s.CloseIdle()
+	io.WriteString(c, getRequest("1")) //nolint:errcheck // the connection is closed
+	_, err := http.ReadResponse(r, nil)
+	is.True(err != nil)
+	select {
+	case <-handled:
+		t.Error("a request on a closed connection was handled")
+	default:
+	}
+}
+
+// While the server drains, an idle connection must be answered once more, with the statement
+// that it closes, and the response must arrive although the caller has sent on.
+func TestDrainAnswersIdleConnection(t *testing.T) {
+	is := is.New(t)
+	s, c, r := startServer(t, handlerFunc(echo))
+	_, err := io.WriteString(c, getRequest("1"))
+	is.NoErr(err)
+	readResponse(t, r)
+	s.Drain()
+	time.Sleep(20 * time.Millisecond)
+	_, err = io.WriteString(c, getRequest("2"))
+	is.NoErr(err)
+	response, body := readResponse(t, r)
+	is.Equal(body, "/2 ")
+	is.True(response.Close)
+}
+
+// The caller of a connection over the limit must get an answer that its request has not run,
+// not a closed connection.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	s, c, r := startServer(t, handlerFunc(echo))
+	_, err := io.WriteString(c, getRequest("1"))
+	is.NoErr(err)
+	readResponse(t, r)
+	for s.OpenConnections() < s.MaxConnections {
+		another, err := net.Dial("tcp4", c.RemoteAddr().String())
+		is.NoErr(err)
+		defer another.Close()
+		time.Sleep(time.Millisecond)
+	}
+	over, err := net.Dial("tcp4", c.RemoteAddr().String())
+	is.NoErr(err)
+	defer over.Close()
+	_, err = io.WriteString(over, getRequest("2"))
+	is.NoErr(err)
+	response, _ := readResponse(t, bufio.NewReader(over))
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.True(response.Close)
+}
+
+// Answers that are ready must be delivered to a caller that closed its sending side.
+func TestHalfClosedCaller(t *testing.T) {
+	is := is.New(t)
+	_, c, r := startServer(t, handlerFunc(echo))
+	_, err := io.WriteString(c, getRequest("1")+getRequest("2"))
+	is.NoErr(err)
+	is.NoErr(c.(*net.TCPConn).CloseWrite())
+	for _, id := range []string{"1", "2"} {
+		_, body := readResponse(t, r)
+		is.Equal(body, "/"+id+" ")
+	}
+}
+
 // No input of a caller may crash the process or block the connection.
 func FuzzConnection(f *testing.F) {
 	f.Add([]byte(getRequest("1") + getRequest("2")))
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -47,13 +47,10 @@
 		limits.HeaderTimeout, limits.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
 	}
 	c.limitedReader.remaining = int64(limits.HeaderBytes) + readAheadSlack
-	if c.isClosing() {
-		return nil, nil
-	}
 	c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) //nolint:errcheck // a closed connection fails the read below
-	// The new deadline may have replaced the one that closeIfIdle has just set.
+	// The new deadline may have replaced the one that is set after the last response.
 	if c.isClosing() {
-		c.stopReading(0)
+		c.stopReading(lingerTimeout)
 	}
 	for {
 		_, err := c.reader.Peek(1)
@@ -65,6 +62,7 @@
 		}
 		c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) //nolint:errcheck // a closed connection fails the next read
 	}
+	c.beginReading()
 	received := c.server.Clock.Now()
 	c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) //nolint:errcheck // a closed connection fails the read below
 	r, err := http.ReadRequest(c.reader)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -33,8 +33,8 @@
 	// Limits returns the limits of the configuration in force, or zero limits if there
 	// is none.
 	Limits func() fleet.Limits
-	// MaxConnections bounds the open connections; further ones are closed when
-	// accepted.
+	// MaxConnections bounds the open connections. The first request of a further one is
+	// rejected; beyond extraConnections further ones, they are closed when accepted.
 	MaxConnections int
 
 	draining atomic.Bool
@@ -47,6 +47,13 @@
 // file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
+// extraConnections is the number of connections over the limit whose first request is
+// rejected, so that the caller gets an answer.
+const extraConnections = 32
+
+// waitInterval is the time between two checks whether all connections have ended.
+const waitInterval = 20 * time.Millisecond
+
 // Serve accepts connections until the listener is closed. Its error is always nil.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
@@ -63,20 +70,22 @@
 	}
 }
 
-// startConnection serves an accepted connection, or closes it if MaxConnections are
-// open.
+// startConnection serves an accepted connection, or rejects its request or closes it if
+// MaxConnections are open.
 func (s *Server) startConnection(accepted net.Conn) {
 	c := newConnection(s, accepted)
 	s.mu.Lock()
 	if s.conns == nil {
 		s.conns = make(map[*connection]struct{})
 	}
-	if len(s.conns) >= s.MaxConnections {
+	open := len(s.conns)
+	if open >= s.MaxConnections+extraConnections {
 		s.mu.Unlock()
-		s.Log.Warn("caller connection closed: connection limit reached", zap.Int("open", s.MaxConnections))
+		s.Log.Warn("caller connection closed: connection limit reached", zap.Int("open", open))
 		accepted.Close() //nolint:errcheck // nothing was sent on the connection
 		return
 	}
+	c.overLimit = open >= s.MaxConnections
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.active.Add(1)
@@ -89,11 +98,12 @@
 	}()
 }
 
-// Drain makes the server close each connection after the response that leaves no
-// request in progress on it. It leaves idle connections to CloseIdle.
+// Drain makes the server close each connection after the response that leaves no request
+// in progress on it. An idle connection stays open for the answer to its next request, or
+// until CloseIdle.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections without a request in progress.
+// CloseIdle closes the connections on which no request has begun to arrive.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,15 +119,16 @@
 	return len(s.conns)
 }
 
-// Wait blocks until all connections have ended or ctx ends.
+// Wait blocks until no connection is open or ctx ends. Connections may still be accepted
+// meanwhile.
 func (s *Server) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for s.OpenConnections() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -88,10 +88,13 @@
 	maxReadyAge = 3500 * time.Millisecond
 	// idleSweepInterval is the time between two removals of idle connections.
 	idleSweepInterval = 2 * time.Second
-	// drainDelay is the time between the stop signal and the closing of idle
-	// connections. The platform checks readiness once a second and stops sending
-	// connections after two failed checks.
+	// drainDelay is the time from the stop signal for which the VM stops at the earliest.
+	// The platform checks readiness once a second and stops sending connections after two
+	// failed checks.
 	drainDelay = 2800 * time.Millisecond
+	// lastWorkTime is how long before the exit the VM rejects new requests, so that those
+	// that it has sent to backend servers can end.
+	lastWorkTime = 1500 * time.Millisecond
 	// stopMargin is how long before the end of the grace period the process exits.
 	stopMargin = 300 * time.Millisecond
 )
@@ -275,23 +278,29 @@
 }
 
 // stop drains the VM: it reports itself as not ready, resigns the assignment lease, and
-// closes each connection after its response. After drainDelay, when the platform sends
-// no new connections, it closes the idle ones and waits for requests in flight.
+// closes each connection after its response. Idle connections stay open for one more
+// request each, since a close could cross it. The VM exits when no connection is left, but
+// not before drainDelay, or at the end of the grace period. In the last lastWorkTime it
+// rejects requests.
 func (r *Router) stop(callers net.Listener) {
 	r.log.Info("stopping", zap.Int("connections", r.front.OpenConnections()))
 	r.stopping.Store(true)
 	r.front.Drain()
 	r.lessor.Stop()
-	grace := time.Duration(r.graceNs.Load())
+	grace := time.Duration(r.graceNs.Load()) - stopMargin
+	exit, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
 	time.Sleep(min(drainDelay, grace/2))
-	callers.Close() //nolint:errcheck // no connection is expected any more
-	r.front.CloseIdle()
-	// This VM gets no new requests from here on, so the other VMs may have its shares.
+	// This VM gets few new requests from here on, so the other VMs may have its shares.
 	r.collector.withdrawReport()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-min(drainDelay, grace/2)-stopMargin)
-	defer cancel()
-	r.front.Wait(ctx)
+	work, endWork := context.WithTimeout(context.Background(), grace-min(drainDelay, grace/2)-min(lastWorkTime, grace/4))
+	defer endWork()
+	r.front.Wait(work)
+	callers.Close() //nolint:errcheck // nothing is accepted any more
+	r.forwarder.RejectNew()
+	r.front.Wait(exit)
 	r.log.Info("stopped", zap.Int("connections", r.front.OpenConnections()))
+	r.front.CloseIdle()
 }
 
 // serveHTTP opens a listener and serves it in the background. It returns an error if the
