Fall back to other relays before reading the shared log; build the relay tree by bandwidth

Change: a VM whose relay fails polls the first three VMs of its failure domain, which begin to read the log a little earlier than it would. If all three state that they cannot read it either, the VM reads it itself every 3 s only. VMs state how many others may poll them, by the bandwidth of their link, and those with the most are the roots of the tree: depth 4 for 50 VMs with three large ones.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,11 +36,28 @@
 	// less stale than the 2.5 s within which a backend server that leaves must get no more
 	// requests.
 	maxRelayAge = 1500 * time.Millisecond
+	// maxReaderAge is the same for the VMs that the others of a failure domain fall back to.
+	// It is shorter, so that these have new records when the others need them.
+	maxReaderAge = 1200 * time.Millisecond
+	// maxOldAge is the age up to which a VM keeps polling relays whose records are too old,
+	// since those it falls back to may just have begun to read the shared log.
+	maxOldAge = 1900 * time.Millisecond
+	// oldRetryDelay is the time between two rounds of such polls.
+	oldRetryDelay = 100 * time.Millisecond
 	// relayRetryDelay is the time without polls after a relay failed.
 	// addressRetryInterval is the time between two checks whether the address of a relay
 	// is known.
 	relayRetryDelay      = time.Second
 	addressRetryInterval = 250 * time.Millisecond
+	// avoidPeriod is how long a relay that failed is polled only if all others have failed
+	// too. The list of members drops a VM that has ended after 5 s.
+	avoidPeriod = 3 * time.Second
+	// outageProbeInterval is the time between own reads of a VM whose fallbacks all state
+	// that they cannot read the shared log. In between it takes the log for unavailable: in a
+	// fleet of hundreds of VMs, reads of each of them would be most of the calls of an outage.
+	outageProbeInterval = 3 * time.Second
+	// outageRetryDelay is the time between two rounds of polls meanwhile.
+	outageRetryDelay = 300 * time.Millisecond
 	// maxStartWait is how long a starting VM looks for a relay before it keeps reading the
 	// shared log itself. The first lease holder is known within half a second.
 	// startRetryInterval is the time between two tries.
@@ -60,6 +79,13 @@
 // noCursor is the offset that a VM without any record of a topic states in a poll.
 const noCursor = -1
 
+// errRelaysOld reports answers whose records are too old, and errLogUnavailable such answers
+// of relays that state that they cannot read the shared log either.
+var (
+	errRelaysOld      = errors.New("records from the relay are too old")
+	errLogUnavailable = errors.New("the relay cannot read the shared log")
+)
+
 var errNoRelay = errors.New("no relay to poll: no address is known, or this VM is the lease holder")
 
 // poll is the message by which a VM asks its relay for records.
@@ -183,12 +209,19 @@
 	// Address returns the address of the relay, or "" if none is known. self is true if
 	// this VM is to read the shared log for the others.
 	Address func() (address string, self bool)
+	// Fallbacks returns the addresses of the relays to poll when that one fails, in order of
+	// preference.
+	Fallbacks func() []string
 	// Reports returns the encoded reports to send with the next poll.
 	Reports func() [][]byte
 	Now     func() time.Duration
 	Log     *zap.Logger
 
 	confirmedAt time.Duration // time as of which the last answer was complete; used by Run only
+	probedAt    time.Duration // when the VM last began to read the shared log itself; used by Run only
+	// avoidUntil is the time until which a relay that failed is not polled, by address. It is
+	// used by Run only.
+	avoidUntil map[string]time.Duration
 
 	mu          sync.Mutex
 	mode        mode
@@ -266,41 +299,124 @@
 	c.Log.Info("relay in use", zap.String("address", address))
 }
 
-// Run polls the relay until ctx ends. It makes the followers read the shared log while no
-// relay answers with sufficiently new records.
+// Run polls the relay until ctx ends. If it fails, the VM polls one of the fallbacks. It
+// makes the followers read the shared log only while no relay answers with sufficiently new
+// records: when the lease holder fails, the VMs of a failure domain would otherwise all read
+// the shared log at once, each several times a second.
 func (c *Client) Run(ctx context.Context) {
+	c.avoidUntil = make(map[string]time.Duration)
 	startedAt := c.Now()
 	for ctx.Err() == nil {
 		address, self := c.Address()
-		err := errNoRelay
-		if address != "" {
-			if err = c.poll(ctx, address); err == nil {
-				c.setMode(modeRelayed, address, nil)
-				continue
-			}
-			c.Peers.Drop(address)
+		used, err := c.pollAny(ctx, c.candidates(address, self))
+		if err == nil {
+			c.setMode(modeRelayed, used, nil)
+			continue
 		}
-		pause := relayRetryDelay
 		switch {
 		case c.currentMode() == modeStarting && !self && c.Now()-startedAt < maxStartWait:
-			pause = startRetryInterval
+			clock.Sleep(ctx, startRetryInterval)
+		case c.mayWait(err):
+			delay := oldRetryDelay
+			if errors.Is(err, errLogUnavailable) {
+				delay = outageRetryDelay
+			}
+			clock.Sleep(ctx, delay)
 		default:
+			c.probedAt = c.Now()
 			c.setMode(modeDirect, address, err)
 			if address == "" {
-				pause = addressRetryInterval
+				clock.Sleep(ctx, addressRetryInterval)
+			} else {
+				clock.Sleep(ctx, relayRetryDelay)
+			}
+		}
+	}
+}
+
+// pollAny polls the candidates one after the other until one answers with sufficiently new
+// records, and returns its address. It returns errRelaysOld if all answered with old
+// records, errLogUnavailable if all of them state besides that they cannot read the shared
+// log, and otherwise the error of the last one.
+func (c *Client) pollAny(ctx context.Context, candidates []string) (string, error) {
+	if len(candidates) == 0 {
+		return "", errNoRelay
+	}
+	old, unavailable := 0, 0
+	var err error
+	for i, candidate := range candidates {
+		wait := maxPollWait
+		if age := c.Now() - c.confirmedAt; i > 0 || age > c.maxAge() {
+			wait = 0
+			if i > 0 && c.Active() && age > maxOldAge {
+				break // an own read would come too late after another timeout
 			}
 		}
-		clock.Sleep(ctx, pause)
+		if err = c.poll(ctx, candidate, wait); err == nil {
+			return candidate, nil
+		}
+		switch {
+		case errors.Is(err, errLogUnavailable):
+			old++
+			unavailable++
+		case errors.Is(err, errRelaysOld):
+			old++
+		default:
+			c.Peers.Drop(candidate)
+			c.avoidUntil[candidate] = c.Now() + avoidPeriod
+		}
+	}
+	switch {
+	case unavailable == len(candidates) && unavailable >= domainReaders:
+		return "", errLogUnavailable
+	case old == len(candidates):
+		return "", errRelaysOld
+	}
+	return "", err
+}
+
+// mayWait reports whether the VM may go on polling after a round of polls that failed with
+// err, instead of reading the shared log itself.
+func (c *Client) mayWait(err error) bool {
+	if !c.Active() {
+		return false
+	}
+	now := c.Now()
+	if errors.Is(err, errLogUnavailable) {
+		return now-c.probedAt < outageProbeInterval
 	}
+	return errors.Is(err, errRelaysOld) && now-c.confirmedAt < maxOldAge
 }
 
-// poll sends one poll and delivers the answer to the followers.
-func (c *Client) poll(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, maxPollWait+pollMargin)
+// candidates returns the addresses to poll in order: the relay and the fallbacks, those that
+// have not failed recently first. If all of them have, only the relay is tried, so that a VM
+// reads the shared log in time. A VM that reads the log for the others has none.
+func (c *Client) candidates(address string, self bool) []string {
+	if self || address == "" {
+		return nil
+	}
+	now := c.Now()
+	maps.DeleteFunc(c.avoidUntil, func(_ string, until time.Duration) bool { return now >= until })
+	var list []string
+	for _, candidate := range append([]string{address}, c.Fallbacks()...) {
+		if _, avoided := c.avoidUntil[candidate]; !avoided && !slices.Contains(list, candidate) {
+			list = append(list, candidate)
+		}
+	}
+	if len(list) == 0 {
+		return []string{address}
+	}
+	return list
+}
+
+// poll sends one poll, for which the relay may wait for a change, and delivers the answer to
+// the followers.
+func (c *Client) poll(ctx context.Context, address string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
 	defer cancel()
 	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64), Reports: c.Reports()}
 	if c.Active() {
-		request.WaitMs = maxPollWait.Milliseconds()
+		request.WaitMs = wait.Milliseconds()
 		request.AgeMs = (c.Now() - c.confirmedAt).Milliseconds()
 	}
 	for _, f := range c.Followers {
@@ -319,32 +435,44 @@
 		return err
 	}
 	for _, f := range c.Followers {
-		if err := c.checkTopic(f, reply.Topics); err != nil {
-			return err
+		if answer, ok := reply.Topics[f.Topic]; !ok || answer.Next == 0 && len(answer.Records) == 0 {
+			return errors.Errorf("relay has no records of topic %s", f.Topic)
 		}
 	}
 	answeredAt := sentAt + time.Duration(reply.WaitedMs)*time.Millisecond
-	c.confirmedAt = answeredAt - reply.age()
+	c.confirmedAt = max(c.confirmedAt, answeredAt-reply.age())
 	for _, f := range c.Followers {
+		// Old records are delivered too: they tell when the relay failed to read the log.
 		c.deliver(f, reply.Topics[f.Topic], answeredAt)
 	}
+	for _, f := range c.Followers {
+		if err := c.checkAge(f, reply.Topics[f.Topic]); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
-// checkTopic returns an error if the answer lacks the topic of the follower or is older
-// than maxRelayAge. An older answer is accepted while this VM cannot read the shared log
-// either: if all VMs kept reading an unavailable log, they would all read it at once when
-// it returns.
-func (c *Client) checkTopic(f *directory.Follower, topics map[string]topicReply) error {
-	answer, ok := topics[f.Topic]
-	if !ok || answer.Next == 0 && len(answer.Records) == 0 {
-		return errors.Errorf("relay has no records of topic %s", f.Topic)
-	}
+// checkAge returns an error if the answer for the topic of the follower is older than maxAge.
+// An older answer is accepted while this VM cannot read the shared log either: if all VMs
+// kept reading an unavailable log, they would all read it at once when it returns.
+func (c *Client) checkAge(f *directory.Follower, answer topicReply) error {
 	age := time.Duration(answer.AgeMs) * time.Millisecond
-	if age > maxRelayAge && !f.FailedSince(c.Now()-probeInterval) {
-		return errors.Errorf("records of topic %s from the relay are %s old", f.Topic, age)
+	switch {
+	case age <= c.maxAge() || f.FailedSince(c.Now()-probeInterval):
+		return nil
+	case answer.FailedMs >= 0 && time.Duration(answer.FailedMs)*time.Millisecond < probeInterval:
+		return errors.Wrapf(errLogUnavailable, "topic %s, %s old", f.Topic, age)
 	}
-	return nil
+	return errors.Wrapf(errRelaysOld, "topic %s, %s old", f.Topic, age)
+}
+
+// maxAge returns the age of records up to which the VM polls relays.
+func (c *Client) maxAge() time.Duration {
+	if len(c.Fallbacks()) < domainReaders {
+		return maxReaderAge
+	}
+	return maxRelayAge
 }
 
 // deliver passes the answer for one topic to its follower. The relay made the answer at
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -58,6 +58,7 @@
 	mu      sync.Mutex
 	records []sharedlog.Record
 	calls   int
+	down    bool
 }
 
 func (l *countingLog) put(key, value string) {
@@ -74,6 +75,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
+	if l.down {
+		return sharedlog.Batch{}, errors.New("log unavailable")
+	}
 	next := int64(len(l.records))
 	return sharedlog.Batch{Records: append([]sharedlog.Record(nil), l.records[min(from.Offset, next):]...), Next: next, End: next}, nil
 }
@@ -119,7 +123,7 @@
 	leaf := leafSink.follower(zap.NewNop())
 	client := &Client{
 		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{leaf},
-		Address: func() (string, bool) { return address, false }, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
+		Address: func() (string, bool) { return address, false }, Fallbacks: func() []string { return nil }, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
 		Now: clock.System{}.Now, Log: zap.NewNop(),
 	}
 	client.AttachFollowers()
@@ -203,7 +207,7 @@
 		}
 	}
 	for parent, n := range children {
-		is.True(n <= maxChildren || parent == "a0" && n == 4) // the root of each failure domain polls a0
+		is.True(n <= minFanOut || parent == "a0" && n == 4) // the root of each failure domain polls a0
 	}
 	is.Equal(Parent(members, "unlisted", "d1", "a0"), "a0")
 }
@@ -239,16 +243,115 @@
 	f := &directory.Follower{
 		Topic: "t", Now: fake.Now, Log: zap.NewNop(), Apply: func(sharedlog.Batch, directory.BatchInfo) {},
 	}
-	c := &Client{Now: fake.Now}
-	stale := map[string]topicReply{"t": {Next: 5, AgeMs: (maxRelayAge + time.Second).Milliseconds()}}
-	is.True(c.checkTopic(f, stale) != nil) // possibly only the relay cannot read the log
+	c := &Client{Now: fake.Now, Fallbacks: func() []string { return nil }}
+	stale := topicReply{Next: 5, AgeMs: (maxRelayAge + time.Second).Milliseconds(), FailedMs: -1}
+	is.True(c.checkAge(f, stale) != nil) // possibly only the relay cannot read the log
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx, failingLog{cancel, new(atomic.Int64)})
 	<-ctx.Done()
-	is.NoErr(c.checkTopic(f, stale))
+	is.NoErr(c.checkAge(f, stale))
 	fake.Time += 2 * probeInterval
-	is.True(c.checkTopic(f, stale) != nil)
-	is.True(c.checkTopic(f, nil) != nil)
+	is.True(c.checkAge(f, stale) != nil)
+}
+
+// relayStandIn is a relay whose topic "t" was confirmed, and last failed to be read, the
+// given times ago; failed is negative if it never failed.
+type relayStandIn struct {
+	address     string
+	cache       *Cache
+	polls       atomic.Int64
+	age, failed atomic.Int64 // in ns
+}
+
+// startRelay starts a relay stand-in.
+func startRelay(t *testing.T, age, failed time.Duration) *relayStandIn {
+	t.Helper()
+	r := &relayStandIn{}
+	r.age.Store(int64(age))
+	r.failed.Store(int64(failed))
+	peers := peer.NewServer(peer.Identity{Version: peer.Version, VM: "relay"}, "", zap.NewNop())
+	peer.Handle(peers, pollMessage, maxPollBytes, func(context.Context, peer.Identity, poll) (pollReply, error) {
+		r.polls.Add(1)
+		time.Sleep(5 * time.Millisecond)
+		topic := topicReply{Next: 5, Snapshot: true, AgeMs: time.Duration(r.age.Load()).Milliseconds(), FailedMs: -1}
+		if failed := time.Duration(r.failed.Load()); failed >= 0 {
+			topic.FailedMs = failed.Milliseconds()
+		}
+		return pollReply{Topics: map[string]topicReply{"t": topic}}, nil
+	})
+	server := httptest.NewServer(peers)
+	t.Cleanup(server.Close)
+	r.address = strings.TrimPrefix(server.URL, "http://")
+	return r
+}
+
+// startLeaf starts a VM that polls the first relay and falls back to the others, and returns
+// the shared log that it reads when none of them is used.
+func startLeaf(t *testing.T, relays ...*relayStandIn) (*Client, *countingLog) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	log := &countingLog{}
+	log.put("k", "v")
+	f := &directory.Follower{
+		Topic: "t", Now: clock.System{}.Now, Log: zap.NewNop(), Interval: 20 * time.Millisecond, Apply: func(sharedlog.Batch, directory.BatchInfo) {},
+	}
+	var fallbacks []string
+	for _, r := range relays[1:] {
+		fallbacks = append(fallbacks, r.address)
+	}
+	c := &Client{
+		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{f},
+		Address:   func() (string, bool) { return relays[0].address, false },
+		Fallbacks: func() []string { return fallbacks }, Reports: func() [][]byte { return nil }, Now: clock.System{}.Now, Log: zap.NewNop(),
+	}
+	c.AttachFollowers()
+	go c.Run(ctx)
+	eventually(t, "a relay is in use", c.Active)
+	go f.Run(ctx, log)
+	return c, log
+}
+
+// TestFallbackRelay guards against VMs that all read the shared log when the lease holder
+// fails: with 295 VMs that was most of the calls of a day. Those whose relay has old records
+// must use another VM of the failure domain that has begun to read the log.
+func TestFallbackRelay(t *testing.T) {
+	is := is.New(t)
+	parent, reader := startRelay(t, 0, -1), startRelay(t, 0, -1)
+	c, log := startLeaf(t, parent, reader, startRelay(t, 0, -1), startRelay(t, 0, -1))
+	calls := log.count()
+	parent.age.Store(int64(time.Minute))
+	before := reader.polls.Load()
+	eventually(t, "the fallback is polled", func() bool { return reader.polls.Load() > before+20 })
+	is.True(c.Active())
+	is.Equal(log.count(), calls)
+	for _, r := range []*relayStandIn{parent, reader} {
+		r.age.Store(0)
+	}
+}
+
+// TestOutageKnownToRelays guards against the same during an outage of the shared log: a VM
+// whose relays all state that they cannot read the log must read it itself only now and then.
+func TestOutageKnownToRelays(t *testing.T) {
+	is := is.New(t)
+	var relays []*relayStandIn
+	for range 4 {
+		relays = append(relays, startRelay(t, 0, -1))
+	}
+	c, log := startLeaf(t, relays...)
+	calls := log.count()
+	for _, r := range relays {
+		r.age.Store(int64(time.Minute))
+		r.failed.Store(int64(100 * time.Millisecond))
+	}
+	log.mu.Lock()
+	log.down = true
+	log.mu.Unlock()
+	eventually(t, "the VM reads the log itself", func() bool { return log.count() > calls })
+	eventually(t, "it stops reading", c.Active)
+	calls = log.count()
+	time.Sleep(outageProbeInterval / 2)
+	is.Equal(log.count(), calls)
 }
 
 // failingLog is a shared log that fails every call and calls cancelReader at the second read.
@@ -279,6 +382,10 @@
 	if age := maxRelayAge + maxPollWait + pollMargin + ownRead; age > drainWithin {
 		t.Errorf("records may be %s old, more than a leaving backend server allows", age)
 	}
+	// The same while its relays answer with old records.
+	if age := maxOldAge + oldRetryDelay + pollMargin + ownRead; age > drainWithin {
+		t.Errorf("records may be %s old, more than a leaving backend server allows", age)
+	}
 }
 
 // TestRelayAfterRestore guards against a relay that answers a VM with records of a restored
@@ -301,3 +408,35 @@
 	_, answerNow = cache.read("t", sharedlog.Position{Era: 2, Offset: 1})
 	is.True(!answerNow)
 }
+
+// TestTreeByFanOut guards against a deep tree of VMs with small links when some VMs of the
+// failure domain could answer many others, since the staleness grows with the depth.
+func TestTreeByFanOut(t *testing.T) {
+	is := is.New(t)
+	var members []share.Member
+	for i := range 50 {
+		fanOut := FanOut(20)
+		if i%20 == 7 { // three large VMs
+			fanOut = FanOut(200)
+		}
+		members = append(members, share.Member{VM: fmt.Sprint(i), Domain: "d", Address: fmt.Sprint("a", i), FanOut: fanOut})
+	}
+	children := map[string]int{}
+	parents := map[string]string{}
+	for _, m := range members {
+		parents[m.Address] = Parent(members, m.VM, "d", "holder")
+		children[parents[m.Address]]++
+	}
+	for _, m := range members {
+		depth := 0
+		for current := m.Address; current != "holder"; current = parents[current] {
+			depth++
+			is.True(depth <= 4)
+		}
+		is.True(children[m.Address] <= m.FanOut)
+	}
+	is.Equal(children["holder"], 1)
+	is.Equal(Fallbacks(members, "0", "d", "holder"), []string{"a7", "a27", "a47"})
+	is.Equal(Fallbacks(members, "27", "d", "holder"), []string{"a7"})
+	is.Equal(len(Fallbacks(members, "7", "d", "holder")), 0)
+}
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -149,7 +149,7 @@
 func (c *collector) encodeReport() ([]byte, error) {
 	number, demand := c.router.limiter.NextReport(c.router.clock.Now())
 	return share.Encode(share.Report{
-		Member: share.Member{VM: c.router.options.VM, Domain: c.router.options.Domain, Address: c.router.options.PeerListen},
+		Member: share.Member{VM: c.router.options.VM, Domain: c.router.options.Domain, Address: c.router.options.PeerListen, FanOut: c.router.options.RelayFanOut},
 		Number: number, Demand: demand, Keys: c.router.forwarder.TakeKeyCounts(),
 		Counts: c.router.limiter.TakeCounts(), Latencies: c.router.servers.TakeLatencies(c.isKeyed),
 		Leaving: c.router.servers.LeavingOwners(),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -62,6 +62,7 @@
 	Protocol       Protocol
 
 	MaxConnections int
+	RelayFanOut    int           // number of VMs that may poll this one
 	Grace          time.Duration // time from the stop signal to the exit of the process
 	DrainWithin    time.Duration // time within which a leaving backend server must get no further requests
 	RevokeWithin   time.Duration // time within which a withdrawn caller key stops working
@@ -170,7 +171,7 @@
 	r.peers = peer.NewServer(identity, "", r.log)
 	relay.Serve(r.peers, cache, r.collector.receive)
 	r.relay = &relay.Client{
-		Peers: peer.NewClient(identity, ""), Followers: r.followers, AddressFollower: r.lessor.Follower(), Address: r.relayAddress,
+		Peers: peer.NewClient(identity, ""), Followers: r.followers, AddressFollower: r.lessor.Follower(), Address: r.relayAddress, Fallbacks: r.relayFallbacks,
 		Reports: r.collector.takeDueReports, Now: r.clock.Now, Log: r.log,
 	}
 	r.relay.AttachFollowers()
@@ -193,6 +194,15 @@
 	return current.Address, false
 }
 
+// relayFallbacks returns the addresses of the VMs to poll when the relay fails.
+func (r *Router) relayFallbacks() []string {
+	members, current := r.members.Load(), r.table.Current()
+	if members == nil || current == nil {
+		return nil
+	}
+	return relay.Fallbacks(members.List, r.options.VM, r.options.Domain, current.Address)
+}
+
 // onMembers applies the list of members that the lease holder published.
 func (r *Router) onMembers(content []byte) {
 	var members share.Members
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -29,6 +29,8 @@
 	Domain string `cbor:"2,keyasint"`
 	// Address is the HOST:PORT at which other VMs reach the VM.
 	Address string `cbor:"3,keyasint"`
+	// FanOut is the number of VMs that may poll the VM as their relay; 0 if it states none.
+	FanOut int `cbor:"4,keyasint,omitempty"`
 }
 
 // Members is the list of VMs that report, sorted by failure domain and name.
