Bound the memory of bodies and of everything that a backend server sends

Cause: heads, informational responses and a body of 32 MiB for each request in flight were read without a bound that a VM of 184 MB can bear, and bodies of callers up to the configured limit each. A backend server may send without end until the caller closes. Change: a budget of a fifth of the memory limit for request bodies and one for response bodies. An upload for which none is left is rejected as not run, with Retry-After; a response ends with an unknown outcome and a closed connection. Bodies are no longer copied for writing. TestUploadMemory: three uploads fit, six are rejected, all memory is free afterwards.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -175,6 +175,7 @@
 				if response := r.result.Response; response != nil {
 					parsed := f.Protocol.ParseResponse(response.Status, response.Header)
 					f.Servers.applyNotices(r.b, &parsed, now)
+					response.Release()
 				}
 			})
 		}
@@ -276,6 +277,7 @@
 // handleResponse is handleResult for a send that received a complete response.
 func (f *Forwarder) handleResponse(rs *requestState, r *sendResult) (*Answer, bool) {
 	b, event, response := r.b, &r.event, r.result.Response
+	rs.responses = append(rs.responses, response)
 	parsed := f.Protocol.ParseResponse(response.Status, response.Header)
 	event.Status = response.Status
 	failed := response.Status >= http.StatusInternalServerError
@@ -338,7 +340,7 @@
 	header := response.Header
 	httpheader.RemoveHopByHop(header)
 	header.Del("Content-Length")
-	return &Answer{Status: response.Status, Header: header, Body: response.Body}
+	return &Answer{Status: response.Status, Header: header, Body: response.Body, response: response}
 }
 
 // chooseBackend returns the backend server for the next attempt with a permit for it,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"fireflyfield/internal/keylease"
 	"fireflyfield/internal/retry"
 	"fireflyfield/internal/share"
+	"fireflyfield/internal/upstream"
 )
 
 const (
@@ -112,15 +113,27 @@
 	// outcomeUnknown is set if an attempt may have run but brought no valid response.
 	outcomeUnknown bool
 	lastResponse   *Answer // last failure response of a backend server
+	// responses are all responses of backend servers, which hold memory.
+	responses []*upstream.Response
 }
 
-// Handle handles a request and returns its final answer. ctx ends when the caller has
-// left.
+// releaseResponses returns the memory of all responses but that of the final answer.
+func (rs *requestState) releaseResponses(answer *Answer) {
+	for _, response := range rs.responses {
+		if response != answer.response {
+			response.Release()
+		}
+	}
+}
+
+// Handle handles a request and returns its final answer, of which the caller must call Done.
+// ctx ends when the caller has left.
 func (f *Forwarder) Handle(ctx context.Context, r *Request) *Answer {
 	call := f.Protocol.ParseRequest(r.Header)
 	rs := &requestState{request: r, call: call, view: f.Directory.View(), ownerRetryDelay: ownerRetryDelay}
 	rs.event = Event{ID: call.ID, Key: call.Key, Received: r.Received}
 	answer := f.handle(ctx, rs)
+	rs.releaseResponses(answer)
 	rs.event.Status = answer.Status
 	rs.event.Took = f.Clock.Now() - r.Received
 	f.Observer.Request(&rs.event)
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/upstream"
 )
 
 // MaxKey is the last key of a keyed service.
@@ -98,4 +99,13 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	response *upstream.Response // whose body this is; nil if there is none
+}
+
+// Done states that the answer was written or is dropped. It must be called once.
+func (a *Answer) Done() {
+	if a.response != nil {
+		a.response.Release()
+	}
 }
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -14,6 +14,7 @@
 	"fireflyfield/internal/directory"
 	"fireflyfield/internal/fleet"
 	"fireflyfield/internal/loadshare"
+	"fireflyfield/internal/membudget"
 	"fireflyfield/internal/share"
 	"fireflyfield/internal/upstream"
 )
@@ -65,6 +66,9 @@
 	cold      ColdLimits
 	responder upstream.Responder
 	vms       func() int
+	// Memory bounds the bodies of responses that are held at the same time. Nil means no
+	// bound. It is set before the first request.
+	Memory *membudget.Budget
 	// KeyedLeaveGrace is how long a backend server that says that it leaves may receive
 	// requests for the keys that it owns. It is set before the first request.
 	KeyedLeaveGrace time.Duration
@@ -121,7 +125,7 @@
 		known := s.byID[id]
 		if known == nil {
 			known = &backend{
-				pool: upstream.NewPool(listed.Address, s.clock, s.responder), slowness: 1, relativeLatency: 1,
+				pool: upstream.NewPool(listed.Address, s.clock, s.responder, s.Memory), slowness: 1, relativeLatency: 1,
 				local: listed.Domain == s.domain, rank: s.rank(id), notice: s.notices[processID{id, listed.Started}],
 			}
 			s.byID[id] = known
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fireflyfield/internal/forward"
+	"fireflyfield/internal/readlimit"
 )
 
 const (
@@ -23,7 +24,7 @@
 	// connection with unread bytes resets it, and the caller could lose the response.
 	lingerTimeout = 500 * time.Millisecond
 	// overLimitRetryAfter is the Retry-After header, in seconds, of a rejection because of
-	// the limit on connections.
+	// the limit on connections or on memory.
 	overLimitRetryAfter = "0.2"
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4 << 10
@@ -39,7 +40,7 @@
 type connection struct {
 	server        *Server
 	net           net.Conn
-	limitedReader *limitedReader
+	limitedReader *readlimit.Reader
 	reader        *bufio.Reader
 	ctx           context.Context // ends when the caller has left
 	cancel        context.CancelFunc
@@ -63,33 +64,15 @@
 // yet.
 type pendingResponse struct {
 	answer chan *forward.Answer
-	isHead bool // the request was HEAD: no body is sent
-	last   bool // no further request follows on the connection
-}
-
-// limitedReader limits the bytes that are read for one request head or body, or
-// discarded after the last request.
-type limitedReader struct {
-	reader    io.Reader
-	remaining int64
-}
-
-// Read implements io.Reader. It returns errReadLimit once the limit is reached.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, errReadLimit
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.reader.Read(p)
-	l.remaining -= int64(n)
-	return n, err
+	// reserved is the memory that the body of the request holds, in bytes.
+	reserved int64
+	isHead   bool // the request was HEAD: no body is sent
+	last     bool // no further request follows on the connection
 }
 
 // newConnection returns a connection that is not yet served.
 func newConnection(s *Server, accepted net.Conn) *connection {
-	c := &connection{server: s, net: accepted, limitedReader: &limitedReader{reader: accepted}, responses: make(chan *pendingResponse, pipelineDepth)}
+	c := &connection{server: s, net: accepted, limitedReader: &readlimit.Reader{Source: accepted}, responses: make(chan *pendingResponse, pipelineDepth)}
 	c.reader = bufio.NewReaderSize(c.limitedReader, readBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -125,8 +108,9 @@
 			}
 			return
 		}
-		p := &pendingResponse{answer: make(chan *forward.Answer, 1), isHead: request.Method == http.MethodHead, last: request.last}
+		p := &pendingResponse{answer: make(chan *forward.Answer, 1), isHead: request.Method == http.MethodHead, last: request.last, reserved: request.reserved}
 		if !c.startRequest() {
+			c.server.Memory.Release(p.reserved)
 			c.discardUntilClose()
 			return
 		}
@@ -183,7 +167,7 @@
 	if c.isClosing() {
 		c.stopReading(lingerTimeout)
 	}
-	c.limitedReader.remaining = maxLingerBytes
+	c.limitedReader.Remaining = maxLingerBytes
 	if _, err := io.Copy(io.Discard, c.reader); err == nil || !isTimeout(err) {
 		c.cancel()
 	}
@@ -195,7 +179,11 @@
 		return
 	}
 	p := &pendingResponse{answer: make(chan *forward.Answer, 1), last: true}
-	p.answer <- &forward.Answer{Status: e.status, Header: http.Header{}, Body: []byte(e.reason + "\n")}
+	header := http.Header{}
+	if e.status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", overLimitRetryAfter)
+	}
+	p.answer <- &forward.Answer{Status: e.status, Header: header, Body: []byte(e.reason + "\n")}
 	c.responses <- p
 	c.discardUntilClose()
 }
@@ -205,12 +193,16 @@
 	closed := false
 	for p := range c.responses {
 		answer := <-p.answer
+		c.server.Memory.Release(p.reserved)
 		if closed {
+			answer.Done()
 			continue
 		}
 		last := c.finishRequest(p)
 		c.net.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:errcheck // a closed connection fails the write below
-		if _, err := c.net.Write(encode(answer, p.isHead, last)); err != nil {
+		err := c.writeAnswer(answer, p.isHead, last)
+		answer.Done()
+		if err != nil {
 			closed = true
 			c.cancel()
 			c.stopReading(0)
@@ -224,6 +216,17 @@
 	}
 }
 
+// writeAnswer writes one answer. The body is not copied, since many large ones may be written
+// at once.
+func (c *connection) writeAnswer(answer *forward.Answer, isHead, last bool) error {
+	content := net.Buffers{encodeHead(answer, last)}
+	if !isHead && len(answer.Body) > 0 {
+		content = append(content, answer.Body)
+	}
+	_, err := content.WriteTo(c.net)
+	return err
+}
+
 // finishRequest ends a request and reports whether its response is the last one of the
 // connection. While the server drains, that is the response after which no further
 // request has begun to arrive.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,6 +17,7 @@
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/fleet"
 	"fireflyfield/internal/forward"
+	"fireflyfield/internal/membudget"
 )
 
 // handlerFunc is a function that implements Handler.
@@ -33,6 +34,12 @@
 
 // startServer starts a server with small limits and connects to it.
 func startServer(t *testing.T, h Handler) (*Server, net.Conn, *bufio.Reader) {
+	t.Helper()
+	return startServerWith(t, h, func(*Server) {})
+}
+
+// startServerWith is startServer with other settings.
+func startServerWith(t *testing.T, h Handler, set func(*Server)) (*Server, net.Conn, *bufio.Reader) {
 	t.Helper()
 	s := &Server{
 		Handler: h, Clock: clock.System{}, Log: zap.NewNop(), MaxConnections: 10,
@@ -40,6 +47,7 @@
 			return fleet.Limits{HeaderBytes: 2048, BodyBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
 		},
 	}
+	set(s)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -316,3 +324,46 @@
 		s.active.Wait()
 	})
 }
+
+// Many large uploads at once must not hold more memory than the budget. Those for which none
+// is left must be rejected as not run while their callers are still sending, and the memory
+// must be free again afterwards.
+func TestUploadMemory(t *testing.T) {
+	is := is.New(t)
+	const size, uploads, fitting = 1000, 9, 3
+	release := make(chan struct{})
+	running := make(chan struct{}, uploads)
+	_, c, _ := startServerWith(t, handlerFunc(func(ctx context.Context, q *forward.Request) *forward.Answer {
+		running <- struct{}{}
+		<-release
+		return echo(ctx, q)
+	}), func(s *Server) { s.MaxConnections, s.Memory = 100, membudget.New(fitting*size+size/2) })
+	upload := func(content string) *bufio.Reader {
+		another, err := net.Dial("tcp4", c.RemoteAddr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { another.Close() })
+		_, err = io.WriteString(another, fmt.Sprintf("POST /u HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, content))
+		is.NoErr(err)
+		return bufio.NewReader(another)
+	}
+	var held []*bufio.Reader
+	for range fitting {
+		held = append(held, upload(strings.Repeat("x", size)))
+		<-running
+	}
+	for range uploads - fitting {
+		response, _ := readResponse(t, upload("only the beginning"))
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.True(response.Header.Get("Retry-After") != "")
+	}
+	close(release)
+	for _, r := range held {
+		response, body := readResponse(t, r)
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.Equal(len(body), len("/u ")+size)
+	}
+	for range fitting {
+		response, _ := readResponse(t, upload(strings.Repeat("y", size)))
+		is.Equal(response.StatusCode, http.StatusOK)
+	}
+}
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -12,11 +12,10 @@
 	"github.com/go-faster/errors"
 
 	"fireflyfield/internal/forward"
+	"fireflyfield/internal/membudget"
+	"fireflyfield/internal/readlimit"
 )
 
-// errReadLimit is returned by reads beyond the limit of a limitedReader.
-var errReadLimit = errors.New("read limit of the request is exceeded")
-
 const (
 	// readAheadSlack is added to the limits of a request head and body in bytes, since
 	// the buffered reader reads ahead into what follows.
@@ -36,6 +35,8 @@
 type callerRequest struct {
 	forward.Request
 	last bool // no request follows on the connection
+	// reserved is the memory that the body holds, in bytes.
+	reserved int64
 }
 
 // readRequest reads the next request with its body. It returns neither a request nor an
@@ -46,7 +47,7 @@
 		limits.HeaderBytes, limits.BodyBytes = defaultHeaderBytes, defaultBodyBytes
 		limits.HeaderTimeout, limits.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
 	}
-	c.limitedReader.remaining = int64(limits.HeaderBytes) + readAheadSlack
+	c.limitedReader.Remaining = int64(limits.HeaderBytes) + readAheadSlack
 	c.net.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) //nolint:errcheck // a closed connection fails the read below
 	// The new deadline may have replaced the one that is set after the last response.
 	if c.isClosing() {
@@ -93,7 +94,7 @@
 // the connection ended.
 func headError(err error) *requestError {
 	switch {
-	case errors.Is(err, errReadLimit):
+	case errors.Is(err, readlimit.ErrExceeded):
 		return &requestError{http.StatusRequestHeaderFieldsTooLarge, "head-too-large"}
 	case isTimeout(err):
 		return &requestError{http.StatusRequestTimeout, "head-timeout"}
@@ -143,22 +144,24 @@
 	if r.ContentLength > maxBytes {
 		return nil, &requestError{http.StatusRequestEntityTooLarge, "body-too-large"}
 	}
-	c.limitedReader.remaining = maxBytes + readAheadSlack
+	c.limitedReader.Remaining = maxBytes + readAheadSlack
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && r.ContentLength != 0 {
 		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, nil
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
+	body, reserved, err := c.server.Memory.ReadAll(r.Body, r.ContentLength, maxBytes)
 	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		return nil, &requestError{http.StatusServiceUnavailable, "memory-exhausted"}
+	case errors.Is(err, membudget.ErrTooLarge):
+		return nil, &requestError{http.StatusRequestEntityTooLarge, "body-too-large"}
 	case err != nil && isTimeout(err):
 		return nil, &requestError{http.StatusRequestTimeout, "body-timeout"}
 	case err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || isConnectionError(err)):
 		return nil, nil
 	case err != nil:
 		return nil, &requestError{http.StatusBadRequest, "malformed-body"}
-	case int64(len(body)) > maxBytes:
-		return nil, &requestError{http.StatusRequestEntityTooLarge, "body-too-large"}
 	}
 	return &callerRequest{
 		Request: forward.Request{
@@ -166,14 +169,14 @@
 			HasBody:  r.ContentLength >= 0 && r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0,
 			Received: received,
 		},
-		last: !isPersistent(r),
+		last: !isPersistent(r), reserved: reserved,
 	}, nil
 }
 
-// encode returns a response in HTTP/1.1 wire format.
-func encode(a *forward.Answer, isHead, last bool) []byte {
+// encodeHead returns the head of a response in HTTP/1.1 wire format.
+func encodeHead(a *forward.Answer, last bool) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(a.Body))
+	b.Grow(512)
 	b.WriteString("HTTP/1.1 ")
 	b.WriteString(strconv.Itoa(a.Status))
 	b.WriteByte(' ')
@@ -196,8 +199,5 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if !isHead {
-		b.Write(a.Body)
-	}
 	return b.Bytes()
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,7 @@
 	"fireflyfield/internal/fleet"
 	"fireflyfield/internal/forward"
 	"fireflyfield/internal/logfield"
+	"fireflyfield/internal/membudget"
 )
 
 // Handler answers requests.
@@ -36,6 +37,8 @@
 	// MaxConnections bounds the open connections. The first request of a further one is
 	// rejected; beyond extraConnections further ones, they are closed when accepted.
 	MaxConnections int
+	// Memory bounds the request bodies that are held at the same time. Nil means no bound.
+	Memory *membudget.Budget
 
 	draining atomic.Bool
 	mu       sync.Mutex
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,7 @@
 	"fireflyfield/internal/keylease"
 	"fireflyfield/internal/loadshare"
 	"fireflyfield/internal/logfield"
+	"fireflyfield/internal/membudget"
 	"fireflyfield/internal/metrics"
 	"fireflyfield/internal/peer"
 	"fireflyfield/internal/relay"
@@ -61,6 +62,8 @@
 	Granter        keylease.Granter
 	Protocol       Protocol
 
+	// MemoryBytes is the memory limit of the process.
+	MemoryBytes    int64
 	MaxConnections int
 	RelayFanOut    int           // number of VMs that may poll this one
 	Grace          time.Duration // time from the stop signal to the exit of the process
@@ -96,6 +99,12 @@
 	// lastWorkTime is how long before the exit the VM rejects new requests, so that those
 	// that it has sent to backend servers can end.
 	lastWorkTime = 1500 * time.Millisecond
+	// requestMemoryFraction and responseMemoryFraction are the parts of the memory limit that
+	// the bodies of requests and of responses may hold. They have budgets of their own, so
+	// that many uploads don't keep responses from being read. The rest is for the program
+	// and for garbage that is not collected yet.
+	requestMemoryFraction  = 0.2
+	responseMemoryFraction = 0.2
 	// stopMargin is how long before the end of the grace period the process exits.
 	stopMargin = 300 * time.Millisecond
 )
@@ -133,6 +142,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.servers = forward.NewServers(r.clock, o.Domain, o.Cold, o.Protocol, random, r.limiter.VMCount)
 	r.servers.KeyedLeaveGrace = o.DrainWithin
+	r.servers.Memory = membudget.New(int64(responseMemoryFraction * float64(o.MemoryBytes)))
 	m, err := metrics.New(r.metricsState)
 	if err != nil {
 		return nil, err
@@ -153,6 +163,7 @@
 	r.setUpRelay()
 	r.front = &front.Server{
 		Handler: r.forwarder, Clock: r.clock, Log: r.log, Limits: r.limits, MaxConnections: o.MaxConnections,
+		Memory: membudget.New(int64(requestMemoryFraction * float64(o.MemoryBytes))),
 	}
 	return r, nil
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,8 +6,8 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +17,9 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"fireflyfield/internal/membudget"
+	"fireflyfield/internal/readlimit"
 )
 
 // Outcome is what is known of a request after an exchange.
@@ -45,11 +48,21 @@
 	HasBody bool
 }
 
-// Response is a complete response of a backend server.
+// Response is a complete response of a backend server. Release must be called once when
+// it is no longer needed.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+
+	memory   *membudget.Budget
+	reserved int64
+}
+
+// Release returns the memory of the body to the budget.
+func (r *Response) Release() {
+	r.memory.Release(r.reserved)
+	r.reserved = 0
 }
 
 const (
@@ -58,6 +71,12 @@
 	readBuffer = 4 << 10
 	// maxBodyBytes bounds the body of a response, which is held in memory.
 	maxBodyBytes = 32 << 20
+	// maxHeadBytes bounds the head of a response together with the informational responses
+	// before it.
+	maxHeadBytes = 64 << 10
+	// framingFactor bounds the bytes of a body on the wire, with the framing of its chunks,
+	// as a multiple of maxBodyBytes.
+	framingFactor = 2
 	// maxStaleResponses is the number of responses to the previous request that are
 	// skipped before the response to the current one.
 	maxStaleResponses = 2
@@ -79,6 +98,8 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net         net.Conn
+	memory      *membudget.Budget
+	limit       *readlimit.Reader // bounds what reader reads from net
 	reader      *bufio.Reader
 	idleSince   time.Duration // monotonic time of the end of the last exchange
 	idleTimeout time.Duration // how long it may stay idle
@@ -86,6 +107,12 @@
 	lastID      string        // ID of the last answered request
 }
 
+// newConn returns a connection without exchanges.
+func newConn(connection net.Conn, memory *membudget.Budget) *conn {
+	limit := &readlimit.Reader{Source: connection}
+	return &conn{net: connection, memory: memory, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
+}
+
 // usable reports whether an idle connection has received nothing. Bytes would belong to
 // no request, and an EOF or a reset means that the peer closed the connection.
 func (c *conn) usable() bool {
@@ -106,10 +133,10 @@
 	return err == nil && empty
 }
 
-// encode returns the request in HTTP/1.1 wire format.
-func (r *Request) encode() []byte {
-	var b strings.Builder
-	b.Grow(512 + len(r.Body))
+// encodeHead returns the head of the request in HTTP/1.1 wire format.
+func (r *Request) encodeHead() []byte {
+	var b bytes.Buffer
+	b.Grow(512)
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -130,17 +157,20 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return []byte(b.String())
+	return b.Bytes()
 }
 
 // exchange sends a request and reads its response. It has no timeout of its own; see
 // interruptOnDone. keep reports whether the connection may carry another request.
 func (c *conn) exchange(r *Request, responder Responder) (response *Response, outcome Outcome, keep bool, err error) {
-	content := r.encode()
-	n, err := c.net.Write(content)
+	head := r.encodeHead()
+	content := net.Buffers{head}
+	if len(r.Body) > 0 {
+		content = append(content, r.Body)
+	}
+	n, err := content.WriteTo(c.net)
 	if err != nil {
-		if n < len(content)-len(r.Body) {
+		if n < int64(len(head)) {
 			return nil, OutcomeNotSent, false, errors.Wrap(err, "request")
 		}
 		return nil, OutcomeUnknown, false, errors.Wrap(err, "request")
@@ -155,6 +185,7 @@
 			c.lastID = r.ID
 			return response, OutcomeAnswered, keep, nil
 		}
+		response.Release()
 		if id != c.lastID || !keep {
 			return nil, OutcomeUnknown, false, errors.Errorf("response belongs to request %q", id)
 		}
@@ -165,6 +196,7 @@
 // readResponse reads one complete response, and reports whether the connection may
 // carry another request.
 func (c *conn) readResponse(method string) (*Response, bool, error) {
+	c.limit.Remaining = maxHeadBytes
 	head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	for err == nil && head.StatusCode < 200 {
 		head, err = http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -172,19 +204,24 @@
 	if err != nil {
 		return nil, false, err
 	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxBodyBytes+1))
+	c.limit.Remaining = framingFactor * maxBodyBytes
+	length := head.ContentLength
+	if method == http.MethodHead {
+		length = 0
+	}
+	body, reserved, err := c.memory.ReadAll(head.Body, length, maxBodyBytes)
 	if err != nil {
 		return nil, false, err
 	}
-	if len(body) > maxBodyBytes {
-		return nil, false, errors.New("response body is too large")
-	}
+	response := &Response{Status: head.StatusCode, Header: head.Header, Body: body, memory: c.memory, reserved: reserved}
+	c.limit.Remaining = maxHeadBytes
 	if err := head.Body.Close(); err != nil {
+		response.Release()
 		return nil, false, err
 	}
 	c.idleTimeout = parseIdleTimeout(head.Header.Get("Keep-Alive"))
 	framed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0 || len(body) == 0
-	return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, framed && !head.Close, nil
+	return response, framed && !head.Close, nil
 }
 
 // parseIdleTimeout returns how long a connection may stay idle: the timeout of a
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -10,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"fireflyfield/internal/clock"
+	"fireflyfield/internal/membudget"
 )
 
 const (
@@ -38,6 +38,7 @@
 	address   string
 	clock     clock.Clock
 	responder Responder
+	memory    *membudget.Budget
 
 	mu      sync.Mutex
 	idle    []*conn
@@ -51,9 +52,10 @@
 	closed         bool
 }
 
-// NewPool returns a pool for the given address without connections.
-func NewPool(address string, c clock.Clock, responder Responder) *Pool {
-	return &Pool{address: address, clock: c, responder: responder}
+// NewPool returns a pool for the given address without connections. The bodies of responses
+// are held within the memory budget.
+func NewPool(address string, c clock.Clock, responder Responder, memory *membudget.Budget) *Pool {
+	return &Pool{address: address, clock: c, responder: responder, memory: memory}
 }
 
 // SetMaxOpen sets the number of open connections above which connections are closed after
@@ -126,7 +128,7 @@
 		p.mu.Unlock()
 		return nil, errors.Wrap(ErrNoConnection, err.Error())
 	}
-	return &conn{net: connection, reader: bufio.NewReaderSize(connection, readBuffer)}, nil
+	return newConn(connection, p.memory), nil
 }
 
 // pop removes and returns the most recently used idle connection, or nil if there is
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +18,7 @@
 
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/freeport"
+	"fireflyfield/internal/membudget"
 )
 
 type testResponder struct{}
@@ -72,7 +77,7 @@
 	p := NewPool(startPeer(t, func(c net.Conn, _ int, id string) bool {
 		_, err := io.WriteString(c, encodeResponse(id, "body-"+id))
 		return err == nil
-	}), clock.System{}, testResponder{})
+	}), clock.System{}, testResponder{}, nil)
 	for i := range 3 {
 		id := fmt.Sprint(i)
 		result := send(t, p, id)
@@ -94,7 +99,7 @@
 		}
 		_, err := io.WriteString(c, stale+encodeResponse(id, "body-"+id))
 		return err == nil
-	}), clock.System{}, testResponder{})
+	}), clock.System{}, testResponder{}, nil)
 	send(t, p, "1")
 	result := send(t, p, "2")
 	is.Equal(result.Outcome, OutcomeAnswered)
@@ -107,7 +112,7 @@
 	p := NewPool(startPeer(t, func(c net.Conn, _ int, id string) bool {
 		_, err := io.WriteString(c, encodeResponse(id, "body-"+id)+encodeResponse(id, "extra"))
 		return err == nil
-	}), clock.System{}, testResponder{})
+	}), clock.System{}, testResponder{}, nil)
 	for _, id := range []string{"1", "2"} {
 		result := send(t, p, id)
 		is.Equal(result.Outcome, OutcomeAnswered)
@@ -131,7 +136,7 @@
 			p := NewPool(startPeer(t, func(c net.Conn, _ int, _ string) bool {
 				io.WriteString(c, reply) //nolint:errcheck // the test sees the result
 				return false
-			}), clock.System{}, testResponder{})
+			}), clock.System{}, testResponder{}, nil)
 			result := send(t, p, "1")
 			is.Equal(result.Outcome, OutcomeUnknown)
 			is.True(result.Err != nil)
@@ -151,7 +156,7 @@
 					c.(*net.TCPConn).SetLinger(0) //nolint:errcheck // the test sees the result
 				}
 				return false
-			}), clock.System{}, testResponder{})
+			}), clock.System{}, testResponder{}, nil)
 			result := send(t, p, "1")
 			is.Equal(result.Outcome == OutcomeAnswered, !reset)
 		})
@@ -163,7 +168,7 @@
 	is := is.New(t)
 	port, err := freeport.Adjacent(1) // no test listens on it
 	is.NoErr(err)
-	result := send(t, NewPool(fmt.Sprintf("127.0.0.1:%d", port), clock.System{}, testResponder{}), "1")
+	result := send(t, NewPool(fmt.Sprintf("127.0.0.1:%d", port), clock.System{}, testResponder{}, nil), "1")
 	is.Equal(result.Outcome, OutcomeNotSent)
 	is.True(result.NotConnected)
 }
@@ -180,7 +185,7 @@
 			close(closed)
 		}
 		return false
-	}), clock.System{}, testResponder{})
+	}), clock.System{}, testResponder{}, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	result := p.Do(ctx, &Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h"})
@@ -197,7 +202,7 @@
 func TestIdleLimitAfterPeerClose(t *testing.T) {
 	is := is.New(t)
 	fake := &clock.Fake{}
-	p := NewPool("127.0.0.1:1", fake, testResponder{})
+	p := NewPool("127.0.0.1:1", fake, testResponder{}, nil)
 	p.lowerIdleLimit(800 * time.Millisecond)
 	client, server := net.Pipe()
 	defer server.Close()
@@ -208,3 +213,80 @@
 	fake.Time = 10 * time.Minute
 	is.Equal(p.currentIdleLimit(fake.Time), time.Duration(0))
 }
+
+// startEndless starts a backend server that answers with the given start and then repeats a
+// part without end until the caller closes. sent is the number of bytes that it could send.
+func startEndless(t *testing.T, start, repeated string) (address string, sent *atomic.Int64) {
+	sent = new(atomic.Int64)
+	chunk := strings.Repeat(repeated, 1+4096/len(repeated))
+	return startPeer(t, func(c net.Conn, _ int, _ string) bool {
+		n, err := io.WriteString(c, start)
+		for sent.Add(int64(n)); err == nil; sent.Add(int64(n)) {
+			n, err = io.WriteString(c, chunk)
+		}
+		return false
+	}), sent
+}
+
+// Bytes without end in a head, before it, in a body or behind it must end at a bound, with a
+// closed connection and an unknown outcome, and not fill the memory until the deadline.
+func TestEndlessResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	// Sockets buffer a few MB besides what is read.
+	const buffered = 16 << 20
+	for name, test := range map[string]struct {
+		start, repeated string
+		bound           int64
+	}{
+		"header line":    {"HTTP/1.1 200 OK\r\nX: ", "x", maxHeadBytes},
+		"header lines":   {head, "X-Y: z\r\n", maxHeadBytes},
+		"status line":    {"HTTP/1.1 200 ", "O", maxHeadBytes},
+		"informational":  {"", "HTTP/1.1 103 Early Hints\r\n\r\n", maxHeadBytes},
+		"body":           {head + "\r\n", "x", 1 << 20},
+		"chunks":         {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n", 1 << 20},
+		"chunk size":     {head + "Transfer-Encoding: chunked\r\n\r\n", "0", maxHeadBytes},
+		"trailers":       {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Y: z\r\n", maxHeadBytes},
+		"stated length":  {head + "Content-Length: 1000000000000\r\n\r\n", "x", maxHeadBytes},
+		"not a response": {"", "garbage ", maxHeadBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, sent := startEndless(t, test.start, test.repeated)
+			p := NewPool(address, clock.System{}, testResponder{}, membudget.New(1<<20))
+			started := time.Now()
+			result := send(t, p, "1")
+			is.Equal(result.Outcome, OutcomeUnknown)
+			is.True(result.Err != nil)
+			is.True(time.Since(started) < 2*time.Second) // not at the deadline of 3 s
+			if n := sent.Load(); n > test.bound+buffered {
+				t.Errorf("%d bytes were taken, the bound is %d", n, test.bound)
+			}
+		})
+	}
+}
+
+// Many backend servers that send bodies without end must not hold more memory together than
+// the budget.
+func TestEndlessBodiesTogether(t *testing.T) {
+	is := is.New(t)
+	const budget, connections = 4 << 20, 200
+	address, _ := startEndless(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", "x")
+	p := NewPool(address, clock.System{}, testResponder{}, membudget.New(budget))
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var wait sync.WaitGroup
+	for range connections {
+		wait.Go(func() {
+			if result := send(t, p, "1"); result.Outcome != OutcomeUnknown {
+				t.Errorf("outcome %d, want unknown", result.Outcome)
+			}
+		})
+	}
+	wait.Wait()
+	runtime.ReadMemStats(&after)
+	// Each growth allocates twice the bytes before it, and the heads need some more.
+	allocated := int64(after.TotalAlloc - before.TotalAlloc)
+	t.Logf("%d MB were allocated for %d responses", allocated>>20, connections)
+	is.True(allocated < connections*maxBodyBytes/8)
+}
