Prefer capable VMs as lease holder, step it less often, and let VMs wait for their relays

When a holder lost the log, its failure passed down the relay tree, all VMs took the log for unavailable and 277 of them read it at the same moment. Change: VMs with the most bandwidth claim a free lease first; results are processed together before a step; loads are copied only to plan. A VM whose relays cannot read the log reads it itself after a random time. While no VM holds the lease, a read of its topic waits 2 s.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -63,8 +63,9 @@
 type Input struct {
 	// Servers are the backend servers of each keyed service.
 	Servers map[string][]Server
-	// Weights are the loads of the key spaces by service.
-	Weights map[string]*keyrange.Weight
+	// Weight returns the load of the key space of a service, or nil if none is known. It is
+	// called only to plan, since the load of a key space is large.
+	Weight func(service string) *keyrange.Weight
 }
 
 // CallKind distinguishes grants from releases.
@@ -278,8 +279,8 @@
 			newestStart[server.Address] = max(newestStart[server.Address], server.Started)
 		}
 		c.handleLostOwners(service, byID, newestStart, now)
-		c.assignFree(service, servers, in.Weights[service], now)
-		c.balance(service, servers, in.Weights[service], now)
+		c.assignFree(service, servers, in.Weight, now)
+		c.balance(service, servers, in.Weight, now)
 		c.merge(service, now)
 		calls = append(calls, c.dueCalls(service, byID, now)...)
 	}
@@ -392,7 +393,7 @@
 }
 
 // assignFree assigns owners to the ranges that have none and on which no lease is left.
-func (c *Core) assignFree(service string, servers []Server, weight *keyrange.Weight, now time.Duration) {
+func (c *Core) assignFree(service string, servers []Server, weight func(service string) *keyrange.Weight, now time.Duration) {
 	var unowned []*rangeState
 	for _, s := range c.ranges[service] {
 		if s.entry.Backend == "" && now >= s.leasedUntil {
@@ -402,7 +403,7 @@
 	if len(unowned) == 0 {
 		return
 	}
-	planner, usable := c.newPlanner(service, servers, weight)
+	planner, usable := c.newPlanner(service, servers, weight(service))
 	if len(usable) == 0 {
 		return
 	}
@@ -485,13 +486,13 @@
 }
 
 // balance starts moves that take load from busy owners.
-func (c *Core) balance(service string, servers []Server, weight *keyrange.Weight, now time.Duration) {
+func (c *Core) balance(service string, servers []Server, weight func(service string) *keyrange.Weight, now time.Duration) {
 	limit := keyrange.MoveLimit(len(servers), len(c.ranges[service])) - c.movingCount(service)
 	if now < c.predecessorUntil || now < c.lastBalance[service]+balanceInterval || limit <= 0 {
 		return
 	}
 	c.lastBalance[service] = now
-	planner, usable := c.newPlanner(service, servers, weight)
+	planner, usable := c.newPlanner(service, servers, weight(service))
 	entries := make([]keyrange.Entry, 0, len(c.ranges[service]))
 	for _, s := range c.ranges[service] {
 		if s.granted && !s.inFlight {
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -111,7 +111,7 @@
 }
 
 func (m *model) input() Input {
-	in := Input{Servers: map[string][]Server{"keyed": nil}, Weights: map[string]*keyrange.Weight{}}
+	in := Input{Servers: map[string][]Server{"keyed": nil}, Weight: func(string) *keyrange.Weight { return nil }}
 	for _, s := range m.servers {
 		if s.listed {
 			in.Servers["keyed"] = append(in.Servers["keyed"], Server{ID: s.id, Address: s.address, Started: s.started, Usable: s.usable, Capacity: 4})
@@ -122,7 +122,7 @@
 	for i := range 40 {
 		weight[(i+int(m.now/(7*time.Second))*400)%keyrange.Parts] = 10
 	}
-	in.Weights["keyed"] = weight
+	in.Weight = func(string) *keyrange.Weight { return weight }
 	return in
 }
 
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -19,10 +19,12 @@
 )
 
 const (
-	// idleReadWait is how long a read of the topic waits while no VM holds the assignment
-	// lease, or once a read has confirmed that this VM may claim the lease of a silent
-	// holder.
+	// idleReadWait is how long a read of the topic waits once a read has confirmed that this
+	// VM may claim the lease of a silent holder.
 	idleReadWait = 500 * time.Millisecond
+	// vacantReadWait is the same while no VM holds the assignment lease. The first claim ends
+	// the wait.
+	vacantReadWait = 2 * time.Second
 	// maxAppendAge is the age of its last accepted append up to which the lease holder
 	// does not read the topic: one heartbeat interval, and 200 ms for an append, 100 times
 	// the usual time. VMs that use this one as their relay read the shared log themselves
@@ -32,7 +34,11 @@
 	// lease holder and on other VMs.
 	holderTick = 100 * time.Millisecond
 	memberTick = 250 * time.Millisecond
-	// maxClaimJitter bounds the jitter between the claims of several VMs.
+	// minStepGap is the least time between two steps of the lease holder. It is far below
+	// the time of a call to another failure domain and of an append.
+	minStepGap = 5 * time.Millisecond
+	// maxClaimJitter bounds the jitter between the claims of several VMs. The first half is
+	// that of the preferred VMs.
 	maxClaimJitter = 250 * time.Millisecond
 	// grantTimeout bounds a grant call, which a backend server answers at once.
 	grantTimeout = 700 * time.Millisecond
@@ -66,7 +72,10 @@
 	Address string
 	// FirstStart is set if no VM has run before.
 	FirstStart bool
-	Logger     *zap.Logger
+	// Preferred reports whether this VM is among the most capable ones. They claim a free
+	// lease first, since the work of the holder grows with the fleet.
+	Preferred func() bool
+	Logger    *zap.Logger
 	// ConfigKnown reports whether this VM has read a configuration. It is called at each
 	// step on each VM.
 	ConfigKnown func() bool
@@ -169,7 +178,9 @@
 	claimAt := lastRecordAt + ClaimAfter + l.claimJitter()
 	now := l.Clock.Now()
 	switch {
-	case l.Table.holder() == "" || lastReadSentAt >= claimAt:
+	case l.Table.holder() == "":
+		return vacantReadWait
+	case lastReadSentAt >= claimAt:
 		return idleReadWait
 	case now < claimAt:
 		return min(ClaimAfter, claimAt-now)
@@ -237,6 +248,7 @@
 	var wake <-chan struct{}
 	if l.lease != nil {
 		tick, wake = holderTick, l.Wake()
+		clock.Sleep(ctx, minStepGap)
 	}
 	timer := time.NewTimer(tick)
 	defer timer.Stop()
@@ -250,6 +262,22 @@
 	case a := <-l.appendResults:
 		l.finishAppend(a)
 	}
+	l.finishPending()
+}
+
+// finishPending processes the results that have arrived meanwhile. With hundreds of ranges to
+// renew, a step for each result would take most of a small VM's processor.
+func (l *Lessor) finishPending() {
+	for {
+		select {
+		case r := <-l.results:
+			l.finishCall(r)
+		case a := <-l.appendResults:
+			l.finishAppend(a)
+		default:
+			return
+		}
+	}
 }
 
 // finishCall passes the result of a call to the core.
@@ -600,7 +628,11 @@
 func (l *Lessor) claimJitter() time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(l.Instance)) // a hash never fails
-	return time.Duration(h.Sum32()%uint32(maxClaimJitter/time.Millisecond)) * time.Millisecond
+	jitter := time.Duration(h.Sum32()%uint32(maxClaimJitter/2/time.Millisecond)) * time.Millisecond
+	if !l.Preferred() {
+		jitter += maxClaimJitter / 2
+	}
+	return jitter
 }
 
 // claim appends a record with this VM as the lease holder, on the condition that the
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -17,6 +17,9 @@
 	"fireflyfield/internal/waittest"
 )
 
+// noWeight is a key space without known load.
+func noWeight(string) *keyrange.Weight { return nil }
+
 // memoryLog is an in-memory shared log of one topic with injected faults.
 type memoryLog struct {
 	mu           sync.Mutex
@@ -194,9 +197,9 @@
 	l.Lessor = NewLessor(LessorOptions{
 		Log: l.log, Topic: "lease", Granter: l.grants, Clock: clock.System{}, Table: NewTable(zap.NewNop()),
 		Instance: name, Address: address, Logger: zap.NewNop(),
-		ConfigKnown: func() bool { return true },
+		ConfigKnown: func() bool { return true }, Preferred: func() bool { return true },
 		Input: func() Input {
-			return Input{Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Usable: true, Capacity: 1}}}}
+			return Input{Weight: noWeight, Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Usable: true, Capacity: 1}}}}
 		},
 		Wake:        func() <-chan struct{} { return never },
 		Notices:     func() ([]byte, []byte) { return []byte("same heartbeat"), []byte("same members") },
@@ -373,7 +376,7 @@
 func TestNewServiceWaitsForServers(t *testing.T) {
 	is := is.New(t)
 	c := NewCore("vm", nil, 0, 0, true)
-	in := Input{Servers: map[string][]Server{"s": nil}}
+	in := Input{Weight: noWeight, Servers: map[string][]Server{"s": nil}}
 	for i := range 5 {
 		now := time.Duration(i) * 500 * time.Millisecond
 		id := string(rune('a' + i))
@@ -397,7 +400,7 @@
 func TestFailedGrantBacksOff(t *testing.T) {
 	for _, err := range []error{ErrRejected, ErrNotSent, errors.New("reset")} {
 		c := NewCore("vm", nil, 0, 0, true)
-		in := Input{Servers: map[string][]Server{"s": {{ID: "a", Address: "a", Usable: true, Capacity: 1}}}}
+		in := Input{Weight: noWeight, Servers: map[string][]Server{"s": {{ID: "a", Address: "a", Usable: true, Capacity: 1}}}}
 		calls := 0
 		for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
 			for _, call := range c.Step(now, in) {
@@ -422,7 +425,7 @@
 	core := NewCore("vm", nil, 0, 0, true)
 	kinds := make(map[ChangeKind]string)
 	step := func(now time.Duration, servers ...Server) {
-		for _, call := range core.Step(now, Input{Servers: map[string][]Server{"s": servers}}) {
+		for _, call := range core.Step(now, Input{Weight: noWeight, Servers: map[string][]Server{"s": servers}}) {
 			core.HandleResult(call, "", nil, now)
 		}
 		core.SetAccepted(core.Version())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -52,9 +53,11 @@
 	// avoidPeriod is how long a relay that failed is polled only if all others have failed
 	// too. The list of members drops a VM that has ended after 5 s.
 	avoidPeriod = 3 * time.Second
-	// outageProbeInterval is the time between own reads of a VM whose fallbacks all state
-	// that they cannot read the shared log. In between it takes the log for unavailable: in a
-	// fleet of hundreds of VMs, reads of each of them would be most of the calls of an outage.
+	// outageProbeInterval is about the time between own reads of a VM whose fallbacks all
+	// state that they cannot read the shared log. Before the first one, the fallbacks may just
+	// have learned of a failure of the lease holder and begin to read the log. In between the
+	// VM takes the log for unavailable: in a fleet of hundreds of VMs, reads of each of them
+	// would be most of the calls of an outage.
 	outageProbeInterval = 3 * time.Second
 	// outageRetryDelay is the time between two rounds of polls meanwhile.
 	outageRetryDelay = 300 * time.Millisecond
@@ -218,7 +221,11 @@
 	Log     *zap.Logger
 
 	confirmedAt time.Duration // time as of which the last answer was complete; used by Run only
-	probedAt    time.Duration // when the VM last began to read the shared log itself; used by Run only
+	// unavailableSince is when the relays first stated that they cannot read the shared log,
+	// or when the VM last read it itself since then; 0 while one can. probeDelay is the time
+	// from then to the next own read. Both are used by Run only.
+	unavailableSince time.Duration
+	probeDelay       time.Duration
 	// avoidUntil is the time until which a relay that failed is not polled, by address. It is
 	// used by Run only.
 	avoidUntil map[string]time.Duration
@@ -309,6 +316,9 @@
 	for ctx.Err() == nil {
 		address, self := c.Address()
 		used, err := c.pollAny(ctx, c.candidates(address, self))
+		if !errors.Is(err, errLogUnavailable) {
+			c.unavailableSince = 0
+		}
 		if err == nil {
 			c.setMode(modeRelayed, used, nil)
 			continue
@@ -323,7 +333,6 @@
 			}
 			clock.Sleep(ctx, delay)
 		default:
-			c.probedAt = c.Now()
 			c.setMode(modeDirect, address, err)
 			if address == "" {
 				clock.Sleep(ctx, addressRetryInterval)
@@ -382,10 +391,16 @@
 		return false
 	}
 	now := c.Now()
-	if errors.Is(err, errLogUnavailable) {
-		return now-c.probedAt < outageProbeInterval
+	if !errors.Is(err, errLogUnavailable) {
+		return errors.Is(err, errRelaysOld) && now-c.confirmedAt < maxOldAge
+	}
+	if c.unavailableSince == 0 || now >= c.unavailableSince+c.probeDelay {
+		probe := c.unavailableSince != 0
+		// A random delay keeps the VMs from reading the log at the same time.
+		c.unavailableSince, c.probeDelay = now, outageProbeInterval/4+rand.N(outageProbeInterval)
+		return !probe
 	}
-	return errors.Is(err, errRelaysOld) && now-c.confirmedAt < maxOldAge
+	return true
 }
 
 // candidates returns the addresses to poll in order: the relay and the fallbacks, those that
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -331,7 +331,7 @@
 // ranges. A configuration must be known.
 func (c *collector) assignmentInput() keylease.Input {
 	view := c.router.directory.View()
-	input := keylease.Input{Servers: make(map[string][]keylease.Server), Weights: make(map[string]*keyrange.Weight)}
+	input := keylease.Input{Servers: make(map[string][]keylease.Server), Weight: c.keyWeight}
 	for _, service := range view.Config.Services {
 		if service.Keyed {
 			input.Servers[service.Name] = nil
@@ -354,9 +354,17 @@
 			ID: id, Address: backend.Address, Started: backend.Started, Usable: view.Usable(&backend) && !c.isLeaving(&backend), Capacity: capacity,
 		})
 	}
-	for service, weight := range c.weights {
-		weightCopy := *weight
-		input.Weights[service] = &weightCopy
-	}
 	return input
 }
+
+// keyWeight returns a copy of the load of the keys of a service, or nil if there is none.
+func (c *collector) keyWeight(service string) *keyrange.Weight {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	weight := c.weights[service]
+	if weight == nil {
+		return nil
+	}
+	weightCopy := *weight
+	return &weightCopy
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -157,7 +157,7 @@
 	r.collector = newCollector(r)
 	r.lessor = keylease.NewLessor(keylease.LessorOptions{
 		Log: o.Log, Topic: o.LeaseTopic, Granter: o.Granter, Clock: r.clock, Table: r.table,
-		Instance: o.Instance, Address: o.PeerListen, FirstStart: o.FirstStart, Logger: r.log, ConfigKnown: r.configKnown, Input: r.collector.assignmentInput, Wake: r.directory.Changed,
+		Instance: o.Instance, Address: o.PeerListen, FirstStart: o.FirstStart, Preferred: r.isPreferredHolder, Logger: r.log, ConfigKnown: r.configKnown, Input: r.collector.assignmentInput, Wake: r.directory.Changed,
 		Notices: r.collector.encodeNotices, OnHeartbeat: r.onHeartbeat, OnMembers: r.onMembers, OnLeaseChange: r.onLeaseChange,
 	})
 	r.setUpRelay()
@@ -205,6 +205,24 @@
 	return current.Address, false
 }
 
+// minPreferredFanOut is the fan-out from which on a VM counts as capable before it knows the
+// other members.
+const minPreferredFanOut = 8
+
+// isPreferredHolder reports whether this VM is among the most capable members, by the
+// bandwidth of its link.
+func (r *Router) isPreferredHolder() bool {
+	members := r.members.Load()
+	if members == nil || len(members.List) == 0 {
+		return r.options.RelayFanOut >= minPreferredFanOut
+	}
+	most := 0
+	for _, m := range members.List {
+		most = max(most, m.FanOut)
+	}
+	return r.options.RelayFanOut >= most
+}
+
 // relayFallbacks returns the addresses of the VMs to poll when the relay fails.
 func (r *Router) relayFallbacks() []string {
 	members, current := r.members.Load(), r.table.Current()
