--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -447,6 +447,9 @@
 // metricsState returns the current values of the gauges.
 func (r *Router) metricsState() metrics.State {
 	state := metrics.State{Ready: r.ready(), Decider: r.isLeaseHolder.Load(), VMs: r.limiter.VMCount()}
+	if next, ok := r.lessor.Follower().Cursor(); ok {
+		state.LogEra = next.Era
+	}
 	if view := r.directory.View(); view != nil {
 		state.Config = metrics.Config{Position: uint64(view.Config.Version), ConfirmedAge: r.directory.ConfigAge()}
 	}
