Wait in TestBlockedOutput until the output blocks

The writer takes up to 64 KiB of lines out of its buffer before it calls Write, which is most of the test's 6,144 lines of 5 bytes if it is fast.

--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -15,15 +15,22 @@
 	"fireflyfield/internal/forward"
 )
 
-// blockedOutput is an output whose Write never returns.
-type blockedOutput struct{}
+// blockedOutput is an output whose Write never returns. It closes begun when Write is called.
+type blockedOutput struct{ begun chan struct{} }
 
-func (blockedOutput) Write([]byte) (int, error) { select {} }
+func (o blockedOutput) Write([]byte) (int, error) {
+	close(o.begun)
+	select {}
+}
 
 // TestBlockedOutput guards against a blocked standard output that blocks requests, and
-// against dropped lines that are not counted.
+// against dropped lines that are not counted. Until the output blocks, the writer takes lines
+// out of the buffer, so the lines to count are written after that.
 func TestBlockedOutput(t *testing.T) {
-	w := NewWriter(blockedOutput{})
+	out := blockedOutput{begun: make(chan struct{})}
+	w := NewWriter(out)
+	w.Write([]byte("first line\n")) //nolint:errcheck // it never fails
+	<-out.begun
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -36,8 +43,8 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("Write blocks while the output is blocked")
 	}
-	if w.Dropped() < bufferedLines/2 {
-		t.Errorf("%d lines counted as dropped, too few for a blocked output", w.Dropped())
+	if w.Dropped() != 2*bufferedLines {
+		t.Errorf("%d lines counted as dropped, want %d", w.Dropped(), 2*bufferedLines)
 	}
 }
 
