--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -290,3 +290,29 @@
 	t.Logf("%d MB were allocated for %d responses", allocated>>20, connections)
 	is.True(allocated < connections*maxBodyBytes/8)
 }
+
+// FuzzReadResponse guards against a response that crashes the process, blocks the reader
+// after the end of the connection, or leaves memory reserved.
+func FuzzReadResponse(f *testing.F) {
+	f.Add([]byte(encodeResponse("1", "body")))
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\n" + encodeResponse("1", "")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX: y\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		const budget = 1 << 20
+		memory := membudget.New(budget)
+		client, server := net.Pipe()
+		go func() {
+			server.Write(content) //nolint:errcheck // the reader may have closed the connection
+			server.Close()
+		}()
+		response, _, err := newConn(client, memory).readResponse(http.MethodGet)
+		if err == nil {
+			response.Release()
+		}
+		client.Close()
+		if _, _, err := memory.ReadAll(strings.NewReader(strings.Repeat("x", budget)), budget, budget); err != nil {
+			t.Fatal("memory is still reserved after the response was released")
+		}
+	})
+}
