Bound the staleness of a VM by the settings while its relays have old records

Cause: a VM kept polling relays with old records up to 1.9 s, and took the log for unavailable because a failure of the lease holder is passed down the relay tree. Change: polls of old relays end when another one that fails would leave no time for an own read within the smaller of the bounds for leaving servers and configurations. A relay states whether its own reads fail; only then does a VM whose last own read failed wait 3 s instead of 1.5 s. Own reads beside old relays last 0.3 s instead of 1 s.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -40,9 +39,10 @@
 	// maxReaderAge is the same for the VMs that the others of a failure domain fall back to.
 	// It is shorter, so that these have new records when the others need them.
 	maxReaderAge = 1200 * time.Millisecond
-	// maxOldAge is the age up to which a VM keeps polling relays whose records are too old,
-	// since those it falls back to may just have begun to read the shared log.
-	maxOldAge = 1900 * time.Millisecond
+	// ownReadMargin is subtracted from Client.MaxStaleness for an own read of the shared log.
+	// Until then a VM keeps polling relays whose records are too old, since those it falls
+	// back to may just have begun to read the log.
+	ownReadMargin = 500 * time.Millisecond
 	// oldRetryDelay is the time between two rounds of such polls.
 	oldRetryDelay = 100 * time.Millisecond
 	// relayRetryDelay is the time without polls after a relay failed.
@@ -53,14 +53,10 @@
 	// avoidPeriod is how long a relay that failed is polled only if all others have failed
 	// too. The list of members drops a VM that has ended after 5 s.
 	avoidPeriod = 3 * time.Second
-	// outageProbeInterval is about the time between own reads of a VM whose fallbacks all
-	// state that they cannot read the shared log. Before the first one, the fallbacks may just
-	// have learned of a failure of the lease holder and begin to read the log. In between the
-	// VM takes the log for unavailable: in a fleet of hundreds of VMs, reads of each of them
-	// would be most of the calls of an outage.
+	// outageProbeInterval is the same as probeInterval if the relay states that its own reads
+	// fail. In a fleet of hundreds of VMs, own reads of each would be most of the calls of an
+	// outage.
 	outageProbeInterval = 3 * time.Second
-	// outageRetryDelay is the time between two rounds of polls meanwhile.
-	outageRetryDelay = 300 * time.Millisecond
 	// maxStartWait is how long a starting VM looks for a relay before it keeps reading the
 	// shared log itself. The first lease holder is known within half a second.
 	// startRetryInterval is the time between two tries.
@@ -68,8 +64,9 @@
 	startRetryInterval = 100 * time.Millisecond
 	// probeInterval is how long after its own last failed read a VM accepts an old answer
 	// of its relay. It is about the time between the VM's own reads while both the VM and
-	// its relay fail to read the shared log.
+	// its relay fail to read the shared log. probeTime is how long such reads go on.
 	probeInterval = 1500 * time.Millisecond
+	probeTime     = 300 * time.Millisecond
 	// minConfirmationGain is how much later than the polling VM knows the relay must have
 	// confirmed the topics to answer without new records. It is about half the interval of
 	// reads of the shared log.
@@ -82,12 +79,8 @@
 // noCursor is the offset that a VM without any record of a topic states in a poll.
 const noCursor = -1
 
-// errRelaysOld reports answers whose records are too old, and errLogUnavailable such answers
-// of relays that state that they cannot read the shared log either.
-var (
-	errRelaysOld      = errors.New("records from the relay are too old")
-	errLogUnavailable = errors.New("the relay cannot read the shared log")
-)
+// errRelaysOld reports answers whose records are too old.
+var errRelaysOld = errors.New("records from the relay are too old")
 
 var errNoRelay = errors.New("no relay to poll: no address is known, or this VM is the lease holder")
 
@@ -111,6 +104,8 @@
 	Topics map[string]topicReply `cbor:"1,keyasint"`
 	// WaitedMs is the time in ms between the arrival of the poll and the answer.
 	WaitedMs int64 `cbor:"2,keyasint"`
+	// ReadsFail is set if the relay itself reads the shared log now, and fails.
+	ReadsFail bool `cbor:"3,keyasint,omitempty"`
 }
 
 // topicReply holds the records of one topic from the cursor on, or the newest record of
@@ -140,8 +135,8 @@
 }
 
 // Serve registers a handler that answers polls from the cache. onReports gets the encoded
-// reports that a poll carries.
-func Serve(s *peer.Server, c *Cache, onReports func(reports [][]byte)) {
+// reports that a poll carries. readsFail reports whether own reads of the shared log fail.
+func Serve(s *peer.Server, c *Cache, onReports func(reports [][]byte), readsFail func() bool) {
 	peer.Handle(s, pollMessage, maxPollBytes, func(ctx context.Context, _ peer.Identity, p poll) (pollReply, error) {
 		if len(p.Reports) > 0 {
 			onReports(p.Reports)
@@ -149,6 +144,7 @@
 		receivedAt := c.now()
 		reply := c.waitForChange(ctx, p)
 		reply.WaitedMs = (c.now() - receivedAt).Milliseconds()
+		reply.ReadsFail = readsFail()
 		return reply, nil
 	})
 }
@@ -215,17 +211,14 @@
 	// Fallbacks returns the addresses of the relays to poll when that one fails, in order of
 	// preference.
 	Fallbacks func() []string
+	// MaxStaleness is the age that the records of this VM may reach.
+	MaxStaleness time.Duration
 	// Reports returns the encoded reports to send with the next poll.
 	Reports func() [][]byte
 	Now     func() time.Duration
 	Log     *zap.Logger
 
 	confirmedAt time.Duration // time as of which the last answer was complete; used by Run only
-	// unavailableSince is when the relays first stated that they cannot read the shared log,
-	// or when the VM last read it itself since then; 0 while one can. probeDelay is the time
-	// from then to the next own read. Both are used by Run only.
-	unavailableSince time.Duration
-	probeDelay       time.Duration
 	// avoidUntil is the time until which a relay that failed is not polled, by address. It is
 	// used by Run only.
 	avoidUntil map[string]time.Duration
@@ -316,9 +309,6 @@
 	for ctx.Err() == nil {
 		address, self := c.Address()
 		used, err := c.pollAny(ctx, c.candidates(address, self))
-		if !errors.Is(err, errLogUnavailable) {
-			c.unavailableSince = 0
-		}
 		if err == nil {
 			c.setMode(modeRelayed, used, nil)
 			continue
@@ -327,80 +317,68 @@
 		case c.currentMode() == modeStarting && !self && c.Now()-startedAt < maxStartWait:
 			clock.Sleep(ctx, startRetryInterval)
 		case c.mayWait(err):
-			delay := oldRetryDelay
-			if errors.Is(err, errLogUnavailable) {
-				delay = outageRetryDelay
-			}
-			clock.Sleep(ctx, delay)
+			clock.Sleep(ctx, oldRetryDelay)
 		default:
 			c.setMode(modeDirect, address, err)
-			if address == "" {
-				clock.Sleep(ctx, addressRetryInterval)
-			} else {
-				clock.Sleep(ctx, relayRetryDelay)
-			}
+			clock.Sleep(ctx, directTime(address, err))
 		}
 	}
 }
 
+// directTime returns how long the VM reads the shared log before it polls again.
+func directTime(address string, err error) time.Duration {
+	switch {
+	case address == "":
+		return addressRetryInterval
+	case errors.Is(err, errRelaysOld):
+		return probeTime
+	}
+	return relayRetryDelay
+}
+
 // pollAny polls the candidates one after the other until one answers with sufficiently new
 // records, and returns its address. It returns errRelaysOld if all answered with old
-// records, errLogUnavailable if all of them state besides that they cannot read the shared
-// log, and otherwise the error of the last one.
+// records, and otherwise the error of the last one.
 func (c *Client) pollAny(ctx context.Context, candidates []string) (string, error) {
 	if len(candidates) == 0 {
 		return "", errNoRelay
 	}
-	old, unavailable := 0, 0
+	old := 0
 	var err error
 	for i, candidate := range candidates {
 		wait := maxPollWait
-		if age := c.Now() - c.confirmedAt; i > 0 || age > c.maxAge() {
+		if i > 0 || c.Now()-c.confirmedAt > c.maxAge() {
 			wait = 0
-			if i > 0 && c.Active() && age > maxOldAge {
-				break // an own read would come too late after another timeout
+			if i > 0 && c.Active() && !c.mayPoll() {
+				break
 			}
 		}
 		if err = c.poll(ctx, candidate, wait); err == nil {
 			return candidate, nil
 		}
-		switch {
-		case errors.Is(err, errLogUnavailable):
-			old++
-			unavailable++
-		case errors.Is(err, errRelaysOld):
+		if errors.Is(err, errRelaysOld) {
 			old++
-		default:
-			c.Peers.Drop(candidate)
-			c.avoidUntil[candidate] = c.Now() + avoidPeriod
+			continue
 		}
+		c.Peers.Drop(candidate)
+		c.avoidUntil[candidate] = c.Now() + avoidPeriod
 	}
-	switch {
-	case unavailable == len(candidates) && unavailable >= domainReaders:
-		return "", errLogUnavailable
-	case old == len(candidates):
+	if old == len(candidates) {
 		return "", errRelaysOld
 	}
 	return "", err
 }
 
+// mayPoll reports whether another poll that fails would leave time for an own read of the
+// shared log before the records of this VM are too old.
+func (c *Client) mayPoll() bool {
+	return c.Now()-c.confirmedAt+pollMargin <= c.MaxStaleness-ownReadMargin
+}
+
 // mayWait reports whether the VM may go on polling after a round of polls that failed with
 // err, instead of reading the shared log itself.
 func (c *Client) mayWait(err error) bool {
-	if !c.Active() {
-		return false
-	}
-	now := c.Now()
-	if !errors.Is(err, errLogUnavailable) {
-		return errors.Is(err, errRelaysOld) && now-c.confirmedAt < maxOldAge
-	}
-	if c.unavailableSince == 0 || now >= c.unavailableSince+c.probeDelay {
-		probe := c.unavailableSince != 0
-		// A random delay keeps the VMs from reading the log at the same time.
-		c.unavailableSince, c.probeDelay = now, outageProbeInterval/4+rand.N(outageProbeInterval)
-		return !probe
-	}
-	return true
+	return c.Active() && errors.Is(err, errRelaysOld) && c.mayPoll()
 }
 
 // candidates returns the addresses to poll in order: the relay and the fallbacks, those that
@@ -461,7 +439,7 @@
 		c.deliver(f, reply.Topics[f.Topic], answeredAt)
 	}
 	for _, f := range c.Followers {
-		if err := c.checkAge(f, reply.Topics[f.Topic]); err != nil {
+		if err := c.checkAge(f, reply.Topics[f.Topic], reply.ReadsFail); err != nil {
 			return err
 		}
 	}
@@ -471,15 +449,25 @@
 // checkAge returns an error if the answer for the topic of the follower is older than maxAge.
 // An older answer is accepted while this VM cannot read the shared log either: if all VMs
 // kept reading an unavailable log, they would all read it at once when it returns.
-func (c *Client) checkAge(f *directory.Follower, answer topicReply) error {
+func (c *Client) checkAge(f *directory.Follower, answer topicReply, relayReadsFail bool) error {
 	age := time.Duration(answer.AgeMs) * time.Millisecond
-	switch {
-	case age <= c.maxAge() || f.FailedSince(c.Now()-probeInterval):
-		return nil
-	case answer.FailedMs >= 0 && time.Duration(answer.FailedMs)*time.Millisecond < probeInterval:
-		return errors.Wrapf(errLogUnavailable, "topic %s, %s old", f.Topic, age)
+	interval := probeInterval
+	if relayReadsFail {
+		interval = outageProbeInterval
+	}
+	if age > c.maxAge() && !f.FailedSince(c.Now()-interval) {
+		return errors.Wrapf(errRelaysOld, "topic %s, %s old", f.Topic, age)
+	}
+	return nil
+}
+
+// ReadsFail reports whether this VM reads the shared log itself now, and fails.
+func (c *Client) ReadsFail() bool {
+	if c.Active() {
+		return false
 	}
-	return errors.Wrapf(errRelaysOld, "topic %s, %s old", f.Topic, age)
+	since := c.Now() - probeInterval
+	return slices.ContainsFunc(c.Followers, func(f *directory.Follower) bool { return f.FailedSince(since) })
 }
 
 // maxAge returns the age of records up to which the VM polls relays.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -116,14 +116,14 @@
 	go root.Run(ctx, rootLog)
 	reports := make(chan string, 10)
 	peers := peer.NewServer(peer.Identity{Version: peer.Version, VM: "root"}, "", zap.NewNop())
-	Serve(peers, cache, func(r [][]byte) { reports <- string(r[0]) })
+	Serve(peers, cache, func(r [][]byte) { reports <- string(r[0]) }, func() bool { return false })
 	server := httptest.NewServer(peers)
 	address := strings.TrimPrefix(server.URL, "http://")
 
 	leaf := leafSink.follower(zap.NewNop())
 	client := &Client{
 		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{leaf},
-		Address: func() (string, bool) { return address, false }, Fallbacks: func() []string { return nil }, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
+		Address: func() (string, bool) { return address, false }, Fallbacks: func() []string { return nil }, MaxStaleness: testStaleness, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
 		Now: clock.System{}.Now, Log: zap.NewNop(),
 	}
 	client.AttachFollowers()
@@ -245,39 +245,40 @@
 	}
 	c := &Client{Now: fake.Now, Fallbacks: func() []string { return nil }}
 	stale := topicReply{Next: 5, AgeMs: (maxRelayAge + time.Second).Milliseconds(), FailedMs: -1}
-	is.True(c.checkAge(f, stale) != nil) // possibly only the relay cannot read the log
+	is.True(c.checkAge(f, stale, false) != nil) // possibly only the relay cannot read the log
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx, failingLog{cancel, new(atomic.Int64)})
 	<-ctx.Done()
-	is.NoErr(c.checkAge(f, stale))
-	fake.Time += 2 * probeInterval
-	is.True(c.checkAge(f, stale) != nil)
+	is.NoErr(c.checkAge(f, stale, false))
+	fake.Time += 2*probeInterval - time.Millisecond
+	is.NoErr(c.checkAge(f, stale, true)) // the relay's own reads fail too
+	is.True(c.checkAge(f, stale, false) != nil)
+	fake.Time += 2 * time.Millisecond
+	is.True(c.checkAge(f, stale, true) != nil)
 }
 
-// relayStandIn is a relay whose topic "t" was confirmed, and last failed to be read, the
-// given times ago; failed is negative if it never failed.
+// testStaleness is the staleness that VMs of a large fleet may reach.
+const testStaleness = 3 * time.Second
+
+// relayStandIn is a relay whose topic "t" was confirmed the given time ago.
 type relayStandIn struct {
-	address     string
-	cache       *Cache
-	polls       atomic.Int64
-	age, failed atomic.Int64 // in ns
+	address   string
+	cache     *Cache
+	polls     atomic.Int64
+	age       atomic.Int64 // in ns
+	readsFail atomic.Bool
 }
 
 // startRelay starts a relay stand-in.
-func startRelay(t *testing.T, age, failed time.Duration) *relayStandIn {
+func startRelay(t *testing.T) *relayStandIn {
 	t.Helper()
 	r := &relayStandIn{}
-	r.age.Store(int64(age))
-	r.failed.Store(int64(failed))
 	peers := peer.NewServer(peer.Identity{Version: peer.Version, VM: "relay"}, "", zap.NewNop())
 	peer.Handle(peers, pollMessage, maxPollBytes, func(context.Context, peer.Identity, poll) (pollReply, error) {
 		r.polls.Add(1)
 		time.Sleep(5 * time.Millisecond)
 		topic := topicReply{Next: 5, Snapshot: true, AgeMs: time.Duration(r.age.Load()).Milliseconds(), FailedMs: -1}
-		if failed := time.Duration(r.failed.Load()); failed >= 0 {
-			topic.FailedMs = failed.Milliseconds()
-		}
-		return pollReply{Topics: map[string]topicReply{"t": topic}}, nil
+		return pollReply{Topics: map[string]topicReply{"t": topic}, ReadsFail: r.readsFail.Load()}, nil
 	})
 	server := httptest.NewServer(peers)
 	t.Cleanup(server.Close)
@@ -303,7 +304,7 @@
 	c := &Client{
 		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{f},
 		Address:   func() (string, bool) { return relays[0].address, false },
-		Fallbacks: func() []string { return fallbacks }, Reports: func() [][]byte { return nil }, Now: clock.System{}.Now, Log: zap.NewNop(),
+		Fallbacks: func() []string { return fallbacks }, Reports: func() [][]byte { return nil }, MaxStaleness: testStaleness, Now: clock.System{}.Now, Log: zap.NewNop(),
 	}
 	c.AttachFollowers()
 	go c.Run(ctx)
@@ -317,8 +318,8 @@
 // must use another VM of the failure domain that has begun to read the log.
 func TestFallbackRelay(t *testing.T) {
 	is := is.New(t)
-	parent, reader := startRelay(t, 0, -1), startRelay(t, 0, -1)
-	c, log := startLeaf(t, parent, reader, startRelay(t, 0, -1), startRelay(t, 0, -1))
+	parent, reader := startRelay(t), startRelay(t)
+	c, log := startLeaf(t, parent, reader, startRelay(t), startRelay(t))
 	calls := log.count()
 	parent.age.Store(int64(time.Minute))
 	before := reader.polls.Load()
@@ -333,16 +334,15 @@
 // TestOutageKnownToRelays guards against the same during an outage of the shared log: a VM
 // whose relays all state that they cannot read the log must read it itself only now and then.
 func TestOutageKnownToRelays(t *testing.T) {
-	is := is.New(t)
 	var relays []*relayStandIn
 	for range 4 {
-		relays = append(relays, startRelay(t, 0, -1))
+		relays = append(relays, startRelay(t))
 	}
 	c, log := startLeaf(t, relays...)
 	calls := log.count()
 	for _, r := range relays {
 		r.age.Store(int64(time.Minute))
-		r.failed.Store(int64(100 * time.Millisecond))
+		r.readsFail.Store(true)
 	}
 	log.mu.Lock()
 	log.down = true
@@ -350,8 +350,12 @@
 	eventually(t, "the VM reads the log itself", func() bool { return log.count() > calls })
 	eventually(t, "it stops reading", c.Active)
 	calls = log.count()
-	time.Sleep(outageProbeInterval / 2)
-	is.Equal(log.count(), calls)
+	const probes = 3
+	time.Sleep((probes - 1) * outageProbeInterval)
+	// Reads go on for probeTime and are at least 100 ms apart.
+	if n := log.count() - calls; n > probes*int(probeTime/(100*time.Millisecond)) {
+		t.Errorf("%d reads in %s", n, (probes-1)*outageProbeInterval)
+	}
 }
 
 // failingLog is a shared log that fails every call and calls cancelReader at the second read.
@@ -382,9 +386,17 @@
 	if age := maxRelayAge + maxPollWait + pollMargin + ownRead; age > drainWithin {
 		t.Errorf("records may be %s old, more than a leaving backend server allows", age)
 	}
-	// The same while its relays answer with old records.
-	if age := maxOldAge + oldRetryDelay + pollMargin + ownRead; age > drainWithin {
-		t.Errorf("records may be %s old, more than a leaving backend server allows", age)
+	// While its relays answer with old records, a poll may still begin at mayPoll's bound.
+	for _, within := range []time.Duration{2 * time.Second, drainWithin, 3 * time.Second} {
+		fake := &clock.Fake{Time: time.Minute}
+		c := &Client{MaxStaleness: within, Now: fake.Now}
+		for c.mayPoll() {
+			fake.Time += time.Millisecond
+			c.confirmedAt = time.Minute
+		}
+		if age := fake.Time - time.Minute + pollMargin + oldRetryDelay + ownRead; age > within {
+			t.Errorf("records may be %s old, %s are allowed", age, within)
+		}
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,7 @@
 	MaxConnections int
 	RelayFanOut    int           // number of VMs that may poll this one
 	Grace          time.Duration // time from the stop signal to the exit of the process
+	MaxStaleness   time.Duration // time within which what others write must be in force here
 	DrainWithin    time.Duration // time within which a leaving backend server must get no further requests
 	RevokeWithin   time.Duration // time within which a withdrawn caller key stops working
 	RetryRatio     float64       // fleet-wide ratio of retries to requests
@@ -180,12 +181,12 @@
 		cache.Wrap(f)
 	}
 	r.peers = peer.NewServer(identity, "", r.log)
-	relay.Serve(r.peers, cache, r.collector.receive)
 	r.relay = &relay.Client{
 		Peers: peer.NewClient(identity, ""), Followers: r.followers, AddressFollower: r.lessor.Follower(), Address: r.relayAddress, Fallbacks: r.relayFallbacks,
-		Reports: r.collector.takeDueReports, Now: r.clock.Now, Log: r.log,
+		Reports: r.collector.takeDueReports, MaxStaleness: r.options.MaxStaleness, Now: r.clock.Now, Log: r.log,
 	}
 	r.relay.AttachFollowers()
+	relay.Serve(r.peers, cache, r.collector.receive, r.relay.ReadsFail)
 }
 
 // relayAddress returns the address of the VM to poll, or "" if none is known. self is
