--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -326,9 +326,6 @@
 	eventually(t, "the fallback is polled", func() bool { return reader.polls.Load() > before+20 })
 	is.True(c.Active())
 	is.Equal(log.count(), calls)
-	for _, r := range []*relayStandIn{parent, reader} {
-		r.age.Store(0)
-	}
 }
 
 // TestOutageKnownToRelays guards against the same during an outage of the shared log: a VM
