--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -263,7 +263,6 @@
 // relayStandIn is a relay whose topic "t" was confirmed the given time ago.
 type relayStandIn struct {
 	address   string
-	cache     *Cache
 	polls     atomic.Int64
 	age       atomic.Int64 // in ns
 	readsFail atomic.Bool
