Take an expired entry for one of an outage only if there was one

Cause: an entry that is removed within 2.2 s of a failed read of the catalogue stayed listed until 2.2 s after that read. Change: a failed read counts as an outage only 1.2 s or more after the last confirmation of the catalogue. Entries expire after some 2.6 s without a renewal.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -88,6 +88,10 @@
 	// failed read and not from the removal, since a backend server that leaves in that
 	// time must get no request 2.5 s later.
 	outageGrace = 2200 * time.Millisecond
+	// minOutage is the time without a confirmation of the catalogue from which on entries may
+	// have expired because backend servers could not renew them. They expire after some 2.6 s
+	// without a renewal, of which up to 0.9 s may lie before the outage.
+	minOutage = 1200 * time.Millisecond
 	// coldMargin is added to the remaining cold time of an entry, for its transmission
 	// delay.
 	coldMargin = 200 * time.Millisecond
@@ -127,8 +131,10 @@
 	retainedUntil map[string]time.Duration
 	// departed are the times at which backend servers were removed.
 	departed map[backendProcess]time.Duration
-	// failedAt is when a read of the catalogue last failed or the log was restored; 0 means
-	// never.
+	// catalogueConfirmedAt is a time at which the known catalogue was the newest one.
+	catalogueConfirmedAt time.Duration
+	// failedAt is when a read of the catalogue last failed in an outage, or the log was
+	// restored; 0 means never.
 	failedAt time.Duration
 	// requiredVersion is the newest version of the configuration that the lease holder is
 	// known to have in force, and behindSince the time since which this VM's configuration
@@ -331,6 +337,7 @@
 			}
 		}
 	}
+	d.catalogueConfirmedAt = max(d.catalogueConfirmedAt, info.ConfirmedAt)
 	changed = d.removeExpired(now) || changed
 	if changed {
 		d.publish()
@@ -436,11 +443,13 @@
 }
 
 // recordReadFailure stores that a read of the catalogue failed at the given time, and
-// extends the expiry of removed entries accordingly.
+// extends the expiry of removed entries accordingly. A failure soon after a confirmation is
+// no outage in which entries could have expired: a backend server whose entry is removed
+// then has left.
 func (d *Directory) recordReadFailure(failedAt time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if failedAt <= d.failedAt {
+	if failedAt <= d.failedAt || failedAt < d.catalogueConfirmedAt+minOutage {
 		return
 	}
 	d.failedAt = failedAt
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -98,6 +98,24 @@
 	is.Equal(len(d.View().Backends), 0)
 }
 
+// TestLeavingBesideFailedRead guards against requests to a backend server that leaves without
+// notice while a single read of the catalogue fails, as when the lease holder loses the log:
+// its entry was taken for one that expired in an outage, and it got requests 2.4 s later.
+func TestLeavingBesideFailedRead(t *testing.T) {
+	is := is.New(t)
+	d, fake, f := newTestDirectory()
+	deliver(f[1], BatchInfo{Snapshot: true, ConfirmedAt: fake.Time}, record("b", "n"), record("c", "n"))
+	fake.Time += 400 * time.Millisecond
+	failedAt := fake.Time
+	fake.Time += 200 * time.Millisecond
+	deliver(f[1], BatchInfo{ConfirmedAt: fake.Time, FailedAt: failedAt}, record("b", ""))
+	is.Equal(len(d.View().Backends), 1)
+	// After an outage the entry of a backend server that could not renew it is kept.
+	fake.Time += 3 * time.Second
+	deliver(f[1], BatchInfo{ConfirmedAt: fake.Time, FailedAt: fake.Time - 100*time.Millisecond}, record("c", ""))
+	is.Equal(len(d.View().Backends), 1)
+}
+
 // TestConfigurationNeverReverts guards against an older version of the configuration that
 // arrives late and replaces a newer one.
 func TestConfigurationNeverReverts(t *testing.T) {
