Append the reports of polling VMs to the log while a relay reads the log itself

Cause: since VMs poll a relay of their failure domain when the lease holder cannot be reached, their reports stayed in the queue of that relay. After 5 s the holder dropped these VMs from the members, and they fell back to 0.3 of an even share of each rate. Change: a VM that reads the log appends the reports of the VMs that poll it together with its own, in one call.

--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -166,8 +166,10 @@
 	return s != nil && s.Keyed
 }
 
-// send makes a report of this VM. The lease holder collects it itself; any other VM
-// appends it to the shared log.
+// send makes a report of this VM. The lease holder collects it itself; any other VM appends
+// it to the shared log, with the reports of the VMs that poll this one. Otherwise these VMs
+// would be dropped from the members while their relay reads the log itself, as when the
+// failure domain is cut off from the lease holder.
 func (c *collector) send(ctx context.Context) error {
 	content, err := c.encodeReport()
 	if err != nil {
@@ -177,12 +179,34 @@
 		c.collect(content)
 		return nil
 	}
+	c.mu.Lock()
+	reports := append(c.forwardedReports, content)
+	c.forwardedReports = nil
+	c.mu.Unlock()
+	records, err := reportRecords(reports)
+	if err != nil {
+		c.router.log.Error("report of a VM cannot be decoded", logfield.Error(err))
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	_, err = c.router.options.Log.Append(ctx, c.router.options.ReportTopic, []sharedlog.Record{{Key: c.router.options.VM, Value: content}}, sharedlog.AnyEnd)
+	_, err = c.router.options.Log.Append(ctx, c.router.options.ReportTopic, records, sharedlog.AnyEnd)
 	return err
 }
 
+// reportRecords returns the records of encoded reports, under the names of their VMs. It
+// leaves out reports that cannot be decoded and returns the error of the last one.
+func reportRecords(reports [][]byte) (records []sharedlog.Record, err error) {
+	for _, content := range reports {
+		var report share.Report
+		if decodeErr := share.Decode(content, &report); decodeErr != nil {
+			err = decodeErr
+			continue
+		}
+		records = append(records, sharedlog.Record{Key: report.Member.VM, Value: content})
+	}
+	return records, err
+}
+
 // collect adds an encoded report of any VM to the demand, the load of keys and the
 // latencies of backend servers.
 func (c *collector) collect(content []byte) {
