Reject requests that may outlast the process once a VM has stopped for 2.8 s

Cause: while a VM stops, requests were served until 1.5 s before its exit. Change: from 2.8 s after the signal a request is served only if its deadline lies before the exit, and otherwise rejected as not run.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -68,7 +68,7 @@
 type Forwarder struct {
 	Options
 
-	rejectNew atomic.Bool
+	exitNs atomic.Int64 // monotonic time at which the process ends, in ns; 0 while unknown
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -149,16 +149,20 @@
 	return f.runAttempts(ctx, attempts, rs)
 }
 
-// RejectNew makes the forwarder reject all further requests, since the process ends before
-// they could be answered.
-func (f *Forwarder) RejectNew() { f.rejectNew.Store(true) }
+// SetExit states when the process ends. From then on a request whose deadline lies later is
+// rejected, since its backend server could still be at work at the end: the caller may send
+// it to another VM at once.
+func (f *Forwarder) SetExit(at time.Duration) { f.exitNs.Store(int64(at)) }
+
+// outlivesProcess reports whether a request may still be in progress when the process ends.
+func (f *Forwarder) outlivesProcess(rs *requestState) bool {
+	exit := time.Duration(f.exitNs.Load())
+	return exit != 0 && rs.deadline+answerMargin > exit
+}
 
 // admit checks the configuration's age, the route, the caller key and the rate. It
 // returns the rejection, or nil if the request is admitted.
 func (f *Forwarder) admit(ctx context.Context, rs *requestState) *Answer {
-	if f.rejectNew.Load() {
-		return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "vm-stops")
-	}
 	age := f.Directory.ConfigAge()
 	rs.event.ConfigAge = age
 	if rs.view == nil {
@@ -180,6 +184,9 @@
 		return f.reject(rs, http.StatusUnauthorized, "caller-key-unknown")
 	}
 	rs.deadline = rs.request.Received + f.timeLeft(rs)
+	if f.outlivesProcess(rs) {
+		return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "vm-stops")
+	}
 	return f.admitRate(ctx, rs)
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -549,3 +549,23 @@
 	m.clock.Time += time.Second
 	is.Equal(m.owner(), pickOK)
 }
+
+// While the VM stops, a request that may still run at the end of the process must be rejected
+// as not run: one on a kept connection 4.2 s after the stop signal was sent to a backend
+// server and cut off 1.5 s later. One that ends in time must be served.
+func TestRequestsBeforeExit(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	f := newTestForwarder(t, false, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		respondSigned(w, r)
+	})
+	now := clock.System{}.Now() // the deadline of a request is 2 s after its receipt
+	f.SetExit(now + 3*time.Second)
+	is.Equal(f.request(context.Background(), "fits").Status, http.StatusOK)
+	f.SetExit(now + time.Second)
+	answer := f.request(context.Background(), "too long")
+	is.Equal(answer.Status, http.StatusServiceUnavailable)
+	is.True(answer.Header.Get("Retry-After") != "")
+	is.Equal(runs.Load(), int64(1))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,9 +97,6 @@
 	// The platform checks readiness once a second and stops sending connections after two
 	// failed checks.
 	drainDelay = 2800 * time.Millisecond
-	// lastWorkTime is how long before the exit the VM rejects new requests, so that those
-	// that it has sent to backend servers can end.
-	lastWorkTime = 1500 * time.Millisecond
 	// requestMemoryFraction and responseMemoryFraction are the parts of the memory limit that
 	// the bodies of requests and of responses may hold. They have budgets of their own, so
 	// that many uploads don't keep responses from being read. The rest is for the program
@@ -319,26 +316,24 @@
 
 // stop drains the VM: it reports itself as not ready, resigns the assignment lease, and
 // closes each connection after its response. Idle connections stay open for one more
-// request each, since a close could cross it. The VM exits when no connection is left, but
-// not before drainDelay, or at the end of the grace period. In the last lastWorkTime it
-// rejects requests.
+// request each, since a close could cross it. After drainDelay the VM rejects requests that
+// may last longer than its process, and exits when no connection is left or at the end of
+// the grace period.
 func (r *Router) stop(callers net.Listener) {
 	r.log.Info("stopping", zap.Int("connections", r.front.OpenConnections()))
 	r.stopping.Store(true)
 	r.front.Drain()
 	r.lessor.Stop()
 	grace := time.Duration(r.graceNs.Load()) - stopMargin
+	exitAt := r.clock.Now() + grace
 	exit, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	time.Sleep(min(drainDelay, grace/2))
+	r.forwarder.SetExit(exitAt)
 	// This VM gets few new requests from here on, so the other VMs may have its shares.
 	r.collector.withdrawReport()
-	work, endWork := context.WithTimeout(context.Background(), grace-min(drainDelay, grace/2)-min(lastWorkTime, grace/4))
-	defer endWork()
-	r.front.Wait(work)
-	callers.Close() //nolint:errcheck // nothing is accepted any more
-	r.forwarder.RejectNew()
 	r.front.Wait(exit)
+	callers.Close() //nolint:errcheck // nothing is accepted any more
 	r.log.Info("stopped", zap.Int("connections", r.front.OpenConnections()))
 	r.front.CloseIdle()
 }
