Read whether the configuration is outdated without a lock; one identity of a server process

ConfigAge, which every request calls, took the lock under which the directory decodes records and copies the catalogue. The time from which the configuration counts as outdated is now kept in an atomic value and computed where it changes. directory and forward each had a type for one process of a backend server; both use fleet.ProcessID. Two loops that prune maps are maps.DeleteFunc. Behaviour and tests are unchanged.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -109,12 +109,6 @@
 	evacuationColdPeriod = 2 * time.Second
 )
 
-// backendProcess identifies one process of a backend server.
-type backendProcess struct {
-	id      string
-	started int64
-}
-
 // Directory builds the newest view from the records of both topics. It is safe for
 // concurrent use. No other lock is acquired while its lock is held.
 type Directory struct {
@@ -130,7 +124,7 @@
 	// lacks stays in force, by failure domain.
 	retainedUntil map[string]time.Duration
 	// departed are the times at which backend servers were removed.
-	departed map[backendProcess]time.Duration
+	departed map[fleet.ProcessID]time.Duration
 	// catalogueConfirmedAt is a time at which the known catalogue was the newest one.
 	catalogueConfirmedAt time.Duration
 	// failedAt is when a read of the catalogue last failed in an outage, or the log was
@@ -144,9 +138,12 @@
 	configsApplied  int             // number of configurations that were in force here
 	undecodable     map[string]bool // IDs of backend servers whose entry cannot be decoded, so that it is logged once
 
-	view        atomic.Pointer[View]
-	confirmedAt atomic.Int64 // last time at which the configuration was known to be the newest, in ns
-	changed     atomic.Pointer[chan struct{}]
+	// outdatedFrom is the time in ns from which on the configuration counts as outdated; 0 if
+	// it does not. Requests read it without the lock.
+	outdatedFrom atomic.Int64
+	view         atomic.Pointer[View]
+	confirmedAt  atomic.Int64 // last time at which the configuration was known to be the newest, in ns
+	changed      atomic.Pointer[chan struct{}]
 }
 
 // New returns an empty directory, which the followers fill.
@@ -154,7 +151,7 @@
 	d := &Directory{
 		clock: c, log: log, sources: sources,
 		evacuated: make(map[string]bool), backends: make(map[string]Backend), undecodable: make(map[string]bool),
-		retainedUntil: make(map[string]time.Duration), departed: make(map[backendProcess]time.Duration),
+		retainedUntil: make(map[string]time.Duration), departed: make(map[fleet.ProcessID]time.Duration),
 	}
 	d.confirmedAt.Store(int64(-time.Hour))
 	signal := make(chan struct{})
@@ -170,7 +167,7 @@
 // configuration that is older than the one of the lease holder was never the newest since.
 func (d *Directory) ConfigAge() time.Duration {
 	now := d.clock.Now()
-	if d.outdated(now) {
+	if from := d.outdatedFrom.Load(); from != 0 && now >= time.Duration(from) {
 		return outdatedAge
 	}
 	return now - time.Duration(d.confirmedAt.Load())
@@ -189,24 +186,24 @@
 	d.updateBehind()
 }
 
-// updateBehind sets behindSince when the configuration falls behind requiredVersion, and
-// clears it when the configuration has caught up. The caller holds the lock.
+// updateBehind sets when the configuration counts as outdated: once it has been behind that
+// of the lease holder for longer than records take to arrive. The first configuration of a
+// process may come from an old copy of the log, so it gets no such time. The caller holds
+// the lock.
 func (d *Directory) updateBehind() {
-	switch {
-	case d.config == nil || d.config.Version >= d.requiredVersion:
+	if d.config == nil || d.config.Version >= d.requiredVersion {
 		d.behindSince = 0
-	case d.behindSince == 0:
+		d.outdatedFrom.Store(0)
+		return
+	}
+	if d.behindSince == 0 {
 		d.behindSince = d.clock.Now()
 	}
-}
-
-// outdated reports whether the configuration has been behind that of the lease holder for
-// longer than records take to arrive. The first configuration of a process may come from
-// an old copy of the log, so it gets no such time.
-func (d *Directory) outdated(now time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.behindSince != 0 && (d.configsApplied <= 1 || now-d.behindSince > versionLag)
+	from := d.behindSince
+	if d.configsApplied > 1 {
+		from += versionLag
+	}
+	d.outdatedFrom.Store(int64(from))
 }
 
 // Changed returns a channel that is closed at the next change of the view.
@@ -352,7 +349,7 @@
 		return false
 	}
 	started := change.Backend.Started
-	if _, gone := d.departed[backendProcess{change.ID, started}]; gone {
+	if _, gone := d.departed[change.Backend.Process()]; gone {
 		return true
 	}
 	known, ok := d.backends[change.ID]
@@ -362,12 +359,8 @@
 // noteDeparted remembers that a process of a backend server was removed. The caller holds
 // the lock.
 func (d *Directory) noteDeparted(known *Backend, now time.Duration) {
-	for process, removedAt := range d.departed {
-		if now-removedAt > departedRetention {
-			delete(d.departed, process)
-		}
-	}
-	d.departed[backendProcess{known.ID, known.Started}] = now
+	maps.DeleteFunc(d.departed, func(_ fleet.ProcessID, removedAt time.Duration) bool { return now-removedAt > departedRetention })
+	d.departed[known.Process()] = now
 }
 
 // applyBackend applies one entry or its removal. An entry that cannot be decoded counts
@@ -387,7 +380,7 @@
 		return
 	}
 	delete(d.undecodable, change.ID)
-	delete(d.departed, backendProcess{change.ID, change.Backend.Started})
+	delete(d.departed, change.Backend.Process())
 	known, ok := d.backends[change.ID]
 	next := Backend{Backend: change.Backend, Updated: now}
 	if change.Backend.ColdRemaining > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,6 +106,15 @@
 	ColdRemaining time.Duration
 }
 
+// ProcessID identifies one process of a backend server, which may start again under its ID.
+type ProcessID struct {
+	Backend string
+	Started int64 // Unix ms of the start of the process
+}
+
+// Process returns the process that the entry is of.
+func (b *Backend) Process() ProcessID { return ProcessID{Backend: b.ID, Started: b.Started} }
+
 // Index builds the lookup tables of the configuration. It must be called once, before the
 // configuration is shared.
 func (c *Config) Index() {
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -1,6 +1,11 @@
 package forward
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"fireflyfield/internal/fleet"
+)
 
 const (
 	// noticeRetention is how long the notices of a backend server are kept without a new
@@ -11,12 +16,6 @@
 	leaveMargin = 300 * time.Millisecond
 )
 
-// processID identifies one process of a backend server.
-type processID struct {
-	backend string
-	started int64
-}
-
 // notice is what a process of a backend server has said of itself in its answers. It
 // answers two load patterns: a release, in which servers leave one after the other while
 // their catalogue entries lag, and a burst that a server asks its callers to pause.
@@ -34,13 +33,9 @@
 		return
 	}
 	if b.notice == nil {
-		for id, n := range s.notices {
-			if now-n.updatedAt > noticeRetention {
-				delete(s.notices, id)
-			}
-		}
+		maps.DeleteFunc(s.notices, func(_ fleet.ProcessID, n *notice) bool { return now-n.updatedAt > noticeRetention })
 		b.notice = &notice{}
-		s.notices[processID{b.ID, b.Started}] = b.notice
+		s.notices[b.Process()] = b.notice
 	}
 	b.notice.updatedAt = now
 	if answer.Pause > 0 {
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -76,7 +76,7 @@
 	mu              sync.Mutex
 	random          *rand.Rand
 	seed            uint64 // of rank
-	notices         map[processID]*notice
+	notices         map[fleet.ProcessID]*notice
 	byID            map[string]*backend
 	byService       map[string][]*backend // usable backend servers, by rank
 	localByService  map[string][]*backend // first maxLocalServers of byService in this failure domain
@@ -89,7 +89,7 @@
 func NewServers(c clock.Clock, domain string, cold ColdLimits, responder upstream.Responder, random *rand.Rand, vms func() int) *Servers {
 	return &Servers{
 		clock: c, started: c.Now(), domain: domain, cold: cold, responder: responder, random: random, vms: vms, seed: random.Uint64(),
-		notices: make(map[processID]*notice),
+		notices: make(map[fleet.ProcessID]*notice),
 		byID:    make(map[string]*backend), byService: make(map[string][]*backend),
 		localByService: make(map[string][]*backend), remoteByService: make(map[string][]*backend),
 	}
@@ -126,7 +126,7 @@
 		if known == nil {
 			known = &backend{
 				pool: upstream.NewPool(listed.Address, s.clock, s.responder, s.Memory), slowness: 1, relativeLatency: 1,
-				local: listed.Domain == s.domain, rank: s.rank(id), notice: s.notices[processID{id, listed.Started}],
+				local: listed.Domain == s.domain, rank: s.rank(id), notice: s.notices[listed.Process()],
 			}
 			s.byID[id] = known
 		}
