--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -116,6 +116,22 @@
 	is.Equal(len(d.View().Backends), 1)
 }
 
+// TestLeavingWhileRelayFails guards against requests to a backend server that leaves without
+// notice while the lease holder is cut off from the log. The VMs that poll the lease holder
+// learned from it that reads fail, and kept the removed entry for another 2.2 s, although
+// entries cannot expire as soon as they were removed.
+func TestLeavingWhileRelayFails(t *testing.T) {
+	is := is.New(t)
+	d, fake, f := newTestDirectory()
+	confirmedAt := fake.Time
+	deliver(f[1], BatchInfo{Snapshot: true, ConfirmedAt: confirmedAt}, record("b", "n"), record("c", "n"))
+	fake.Time += 1300 * time.Millisecond
+	deliver(f[1], BatchInfo{ConfirmedAt: confirmedAt, FailedAt: fake.Time}) // by the relay
+	fake.Time += 300 * time.Millisecond
+	deliver(f[1], BatchInfo{ConfirmedAt: fake.Time}, record("b", "")) // by an own read
+	is.Equal(len(d.View().Backends), 1)
+}
+
 // TestConfigurationNeverReverts guards against an older version of the configuration that
 // arrives late and replaces a newer one.
 func TestConfigurationNeverReverts(t *testing.T) {
