Apply notices of a backend server to its current state

Callers were sent to a backend server that had said that it leaves. The state of a backend server at a VM is made anew when it is unlisted and listed again, as around an outage of the log; a notice in the answer of a request that was under way marked only the former state. Evidence: TestNoticeAfterRelisting, 35 of 100 requests to the leaving server before, 0 now. Notices are kept by process, so the answer now finds the current state of that process.

--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -32,6 +32,12 @@
 	if !answer.Leaving && answer.Pause <= 0 {
 		return
 	}
+	if current := s.byID[b.ID]; current != nil && current.Process() == b.Process() {
+		b = current // it may have been unlisted and listed again while the request was under way
+	}
+	if b.notice == nil {
+		b.notice = s.notices[b.Process()]
+	}
 	if b.notice == nil {
 		maps.DeleteFunc(s.notices, func(_ fleet.ProcessID, n *notice) bool { return now-n.updatedAt > noticeRetention })
 		b.notice = &notice{}
