Give no permit to a queued request whose owner drains or is evacuated

A request that waits for a permit of the owner of its key received it although the owner had announced its leaving, up to a third of the request's time after the announcement was known. The check when a permit is passed on left out the view, which the check before queueing has. Evidence: TestQueuedRequestAtDrainingOwner fails before, for a draining owner and for an evacuated failure domain. The request looks for the next owner now.

--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -386,7 +386,7 @@
 	stats := b.stats(now)
 	// Usual latency and time left are 0, so that the deadline, which was checked when w
 	// was queued, is not checked again.
-	if b.unavailableReason(&stats, now, 0, 0) == pickOK && !s.hasLeft(b, now) {
+	if b.unavailableReason(&stats, now, 0, 0) == pickOK && s.view.Usable(&b.Backend) && !s.hasLeft(b, now) {
 		s.startRequest(b, service, now)
 		w.hasPermit = true
 	}
