Check once more that a backend server may receive a request when its connection is ready

A request was sent to a backend server that had left, restarted or asked for a pause between the choice and the end of the connection attempt, up to 350 ms later, on top of the age of the catalogue. Nothing looked at the newest view after the choice. Package upstream asks before the first byte; the request goes to another backend server without using up the retry budget.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -87,6 +87,10 @@
 		rs.event.Reason = "attempts-used"
 		return false
 	}
+	if rs.withdrawn {
+		rs.withdrawn = false
+		return true
+	}
 	if !f.budget(rs.service.Name).Take(time.Unix(0, int64(now))) {
 		rs.event.Reason = "retry-budget"
 		return false
@@ -227,6 +231,7 @@
 	request := &upstream.Request{
 		ID: rs.call.ID, Method: rs.request.Method, Target: rs.request.Target, Host: rs.request.Host,
 		Header: header, Body: rs.request.Body, HasBody: rs.request.HasBody,
+		Allowed: func() bool { return f.Servers.mayReceive(f.Directory.View(), b) },
 	}
 	rs.tried = append(rs.tried, b.ID)
 	rs.sends++
@@ -248,6 +253,12 @@
 		event.Detail = "not sent: " + result.Err.Error()
 		rs.runs--
 		rs.event.Reason = "not-sent"
+		if errors.Is(result.Err, upstream.ErrNotAllowed) {
+			rs.sends--
+			rs.withdrawn = true
+			f.Servers.endRequest(b, rs.service, func(time.Duration) {})
+			return nil, true
+		}
 		if ctx.Err() != nil {
 			f.Servers.endRequest(b, rs.service, func(time.Duration) {})
 			return nil, false
@@ -413,7 +424,7 @@
 		return b, pickOK
 	}
 	f.Servers.cancelWait(b, rs.service, w)
-	if moved {
+	if moved || !f.Servers.mayReceive(f.Directory.View(), b) {
 		return nil, pickNoServer
 	}
 	return nil, pickAllFull
--- a/internal/forward/backend.go
+++ b/internal/forward/backend.go
@@ -88,11 +88,15 @@
 	return b.lastFailureShare * decay.Factor(now-b.lastResultAt, failureDecay)
 }
 
+// expired reports whether the catalogue entry was removed around an outage of the shared log
+// and has not come back in time.
+func (b *backend) expired(now time.Duration) bool { return b.ExpiresAt != 0 && now >= b.ExpiresAt }
+
 // unavailableReason says why the backend server should not receive a request with the
 // given usual latency and time left. It returns pickOK if the request may be sent.
 func (b *backend) unavailableReason(stats *ServerStats, now, usualLatency, timeLeft time.Duration) pickReason {
 	switch {
-	case b.ExpiresAt != 0 && now >= b.ExpiresAt:
+	case b.expired(now):
 		return pickNoServer
 	case b.remainingPause(now) > 0:
 		return pickPaused
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -110,6 +110,9 @@
 	// ownerRetryDelay is the longest delay before the next attempt after an owner
 	// rejected the key.
 	ownerRetryDelay time.Duration
+	// withdrawn is set if the last attempt was not sent since its backend server may receive
+	// no request any more. The next attempt is no retry then.
+	withdrawn bool
 	// outcomeUnknown is set if an attempt may have run but brought no valid response.
 	outcomeUnknown bool
 	lastResponse   *Answer // last failure response of a backend server
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -355,6 +355,16 @@
 	return b, pickQueued
 }
 
+// mayReceive reports whether a request that was chosen for the backend server earlier may be
+// sent to it now: it has not left, restarted or asked for a pause since.
+func (s *Servers) mayReceive(view *directory.View, b *backend) bool {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyView(view)
+	return s.byID[b.ID] == b && s.view.Usable(&b.Backend) && !s.hasLeft(b, now) && !b.expired(now) && b.remainingPause(now) == 0
+}
+
 // hasPermit reports whether a waiter has received a permit.
 func (s *Servers) hasPermit(w *waiter) bool {
 	s.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,6 +46,9 @@
 	Body   []byte
 	// HasBody distinguishes an empty body with a length from no body.
 	HasBody bool
+	// Allowed is called when a connection is ready, before anything is sent. If it returns
+	// false, the request is not sent and its result has ErrNotAllowed. Nil allows it.
+	Allowed func() bool
 }
 
 // Response is a complete response of a backend server. Release must be called once when
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,6 +32,9 @@
 // ErrNoConnection reports that a backend server cannot be connected to.
 var ErrNoConnection = errors.New("no connection")
 
+// ErrNotAllowed reports that Request.Allowed returned false.
+var ErrNotAllowed = errors.New("request is no longer allowed")
+
 // Pool keeps the connections to one backend server. It is safe for concurrent use and
 // acquires no other lock while it holds its own.
 type Pool struct {
@@ -86,6 +89,10 @@
 	if err != nil {
 		return Result{Outcome: OutcomeNotSent, Err: err, NotConnected: true}
 	}
+	if r.Allowed != nil && !r.Allowed() {
+		p.put(c, c.requests > 0)
+		return Result{Outcome: OutcomeNotSent, Err: ErrNotAllowed}
+	}
 	result := Result{Reused: c.requests > 0, Idle: p.clock.Now() - c.idleSince}
 	if !result.Reused {
 		result.Idle = 0
