Ignore failed reads of a relay once the log can be read without a failure

Callers were sent to a backend server for up to 3.2 s after its entry was removed, when the lease holder was cut off from the log at that time: the VMs that polled it took its failed reads for an outage in which the entry may have expired, and kept it 2.2 s longer, although their own reads succeeded at once. Evidence: TestLeavingWhileRelayFails, entry kept before, removed at once now. A confirming batch whose source has seen no failure since the last confirmation shows that there was no outage for the others; one whose source has keeps the grace (TestEntryExpiredInOutage, unchanged).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -314,6 +314,7 @@
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.dropUnsharedFailure(info)
 	if info.Restored {
 		d.failedAt = now
 	}
@@ -435,6 +436,15 @@
 	return changed
 }
 
+// dropUnsharedFailure drops a failure since the last confirmation that the source of this
+// confirming batch has not seen: a relay may fail to read the log while others, the backend
+// servers among them, reach it. The caller holds the lock.
+func (d *Directory) dropUnsharedFailure(info BatchInfo) {
+	if info.ConfirmedAt > d.catalogueConfirmedAt && d.failedAt > d.catalogueConfirmedAt && info.FailedAt <= d.catalogueConfirmedAt {
+		d.failedAt = 0
+	}
+}
+
 // recordReadFailure stores that a read of the catalogue failed at the given time, and
 // extends the expiry of removed entries accordingly. A failure soon after a confirmation is
 // no outage in which entries could have expired: a backend server whose entry is removed
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -119,7 +119,7 @@
 // TestLeavingWhileRelayFails guards against requests to a backend server that leaves without
 // notice while the lease holder is cut off from the log. The VMs that poll the lease holder
 // learned from it that reads fail, and kept the removed entry for another 2.2 s, although
-// entries cannot expire as soon as they were removed.
+// their own reads succeeded at once.
 func TestLeavingWhileRelayFails(t *testing.T) {
 	is := is.New(t)
 	d, fake, f := newTestDirectory()
