Ignore a view of the directory that is older than the applied one

A request loads the newest view and then waits for the lock of the server states; if another request applied a newer view in between, the older one was applied again. Backend servers that only the newer view lists lost their state: connections, requests in flight, the spacing of requests while cold, and usable ones could be listed again for a moment. Evidence: TestOlderViewIsIgnored, state lost before, kept now. Views are numbered.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -58,6 +58,8 @@
 // View is an immutable snapshot of the configuration, the evacuated failure domains and
 // the catalogue.
 type View struct {
+	// Number grows with each view of a directory.
+	Number    int64
 	Config    *fleet.Config
 	Evacuated map[string]bool
 	// Backends are the backend servers by ID, draining ones included.
@@ -136,6 +138,7 @@
 	requiredVersion int64
 	behindSince     time.Duration
 	configsApplied  int             // number of configurations that were in force here
+	views           int64           // number of views that were published
 	undecodable     map[string]bool // IDs of backend servers whose entry cannot be decoded, so that it is logged once
 
 	// outdatedFrom is the time in ns from which on the configuration counts as outdated; 0 if
@@ -214,7 +217,8 @@
 	if d.config == nil || d.backends == nil {
 		return
 	}
-	d.view.Store(&View{Config: d.config, Evacuated: maps.Clone(d.evacuated), Backends: maps.Clone(d.backends)})
+	d.views++
+	d.view.Store(&View{Number: d.views, Config: d.config, Evacuated: maps.Clone(d.evacuated), Backends: maps.Clone(d.backends)})
 	next := make(chan struct{})
 	close(*d.changed.Swap(&next))
 }
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -102,9 +102,10 @@
 	s.cold = cold
 }
 
-// applyView updates the state to a new view. The caller holds s.mu.
+// applyView updates the state to a new view. A request may have loaded its view before
+// another one applied a newer view. The caller holds s.mu.
 func (s *Servers) applyView(view *directory.View) {
-	if view == s.view {
+	if view == s.view || s.view != nil && view.Number < s.view.Number {
 		return
 	}
 	s.view = view
