Read the limit that a backend server names, log its changes and count such servers

No decision uses it yet. Log line "limit of a backend server changed", metric fireflyfield_backends_limited.

--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"go.uber.org/zap"
+
 	"fireflyfield/internal/fleet"
 )
 
@@ -24,12 +26,15 @@
 	leavingSince time.Duration
 	// pausedUntil is the end of the pause that the process has asked this VM for.
 	pausedUntil time.Duration
-	updatedAt   time.Duration
+	// limited is set while the process names a limit, which is limit requests per second.
+	limited   bool
+	limit     float64
+	updatedAt time.Duration
 }
 
 // applyNotices records what an answer says of its backend server. The caller holds s.mu.
 func (s *Servers) applyNotices(b *backend, answer *ResponseHeaders, now time.Duration) {
-	if !answer.Leaving && answer.Pause <= 0 {
+	if !answer.Leaving && answer.Pause <= 0 && !answer.HasLimit && b.notice == nil {
 		return
 	}
 	if current := s.byID[b.ID]; current != nil && current.Process() == b.Process() {
@@ -47,6 +52,7 @@
 	if answer.Pause > 0 {
 		b.notice.pausedUntil = max(b.notice.pausedUntil, now+answer.Pause)
 	}
+	s.applyLimit(b, answer)
 	if answer.Leaving && b.notice.leavingSince == 0 {
 		b.notice.leavingSince = now
 		if !b.keyed {
@@ -56,6 +62,28 @@
 	}
 }
 
+// applyLimit records whether the backend server names a limit. The caller holds s.mu.
+func (s *Servers) applyLimit(b *backend, answer *ResponseHeaders) {
+	if b.notice.limited != answer.HasLimit {
+		s.Log.Info("limit of a backend server changed", zap.String("backend", b.ID), zap.String("service", b.Service),
+			zap.Bool("limited", answer.HasLimit), zap.Float64("limit", answer.Limit))
+	}
+	b.notice.limited, b.notice.limit = answer.HasLimit, answer.Limit
+}
+
+// LimitedCount returns the number of backend servers that name a limit.
+func (s *Servers) LimitedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, b := range s.byID {
+		if b.notice != nil && b.notice.limited {
+			count++
+		}
+	}
+	return count
+}
+
 // hasLeft reports whether the backend server must receive no further request because it
 // leaves. The owner of keys receives requests for a while, until its keys have moved.
 func (s *Servers) hasLeft(b *backend, now time.Duration) bool {
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -64,9 +64,13 @@
 	Leaving bool
 	// Pause is how long the backend server, which has rejected the request, wants no
 	// request of this VM; 0 if it does not say.
-	Pause   time.Duration
-	Load    Load
-	HasLoad bool
+	Pause time.Duration
+	// Limit is the number of requests per second that the backend server accepts from all
+	// VMs together; HasLimit is set if it names one.
+	Limit    float64
+	HasLimit bool
+	Load     Load
+	HasLoad  bool
 }
 
 // Protocol reads and writes the headers of callers and backend servers.
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/directory"
@@ -72,6 +73,9 @@
 	// KeyedLeaveGrace is how long a backend server that says that it leaves may receive
 	// requests for the keys that it owns. It is set before the first request.
 	KeyedLeaveGrace time.Duration
+	// Log gets a line for each change of what backend servers say of themselves. It is set
+	// before the first request.
+	Log *zap.Logger
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -89,8 +93,8 @@
 func NewServers(c clock.Clock, domain string, cold ColdLimits, responder upstream.Responder, random *rand.Rand, vms func() int) *Servers {
 	return &Servers{
 		clock: c, started: c.Now(), domain: domain, cold: cold, responder: responder, random: random, vms: vms, seed: random.Uint64(),
-		notices: make(map[fleet.ProcessID]*notice),
-		byID:    make(map[string]*backend), byService: make(map[string][]*backend),
+		notices: make(map[fleet.ProcessID]*notice), Log: zap.NewNop(),
+		byID: make(map[string]*backend), byService: make(map[string][]*backend),
 		localByService: make(map[string][]*backend), remoteByService: make(map[string][]*backend),
 	}
 }
--- a/internal/metrics/source.go
+++ b/internal/metrics/source.go
@@ -30,6 +30,8 @@
 	Config          Config
 	// LogEra is how often the shared log has been restored from an older copy, as it states.
 	LogEra int64
+	// LimitedBackends counts the backend servers that limit how many requests they accept.
+	LimitedBackends int
 	// PendingDrains counts the drains that have not ended.
 	PendingDrains int
 }
@@ -59,7 +61,7 @@
 // gauges holds the instruments that show State.
 type gauges struct {
 	ready, decider, term, limit, inFlight, queued, roles metric.Int64ObservableGauge
-	vms, missing, drains, position, fault, era           metric.Int64ObservableGauge
+	vms, missing, drains, position, fault, era, limited  metric.Int64ObservableGauge
 	age                                                  metric.Float64ObservableGauge
 	failures, refused, duplicates, restores              metric.Int64ObservableCounter
 }
@@ -81,6 +83,7 @@
 		position:   b.gauge("fireflyfield.config.position", "Revision of the configuration in force."),
 		fault:      b.gauge("fireflyfield.config.fault", "1 while the configuration can't be read from the log."),
 		era:        b.gauge("fireflyfield.log.era", "Number of restores of the shared log from an older copy, as it states."),
+		limited:    b.gauge("fireflyfield.backends.limited", "Backend servers that limit how many requests they accept."),
 		age:        b.secondsGauge("fireflyfield.config.confirmed_age", "Time since the configuration was known to be current; -1 if never."),
 		failures:   b.observableCounter("fireflyfield.config.read_failures", "Failed reads of the configuration."),
 		refused:    b.observableCounter("fireflyfield.config.refused", "Records of the configuration that replay refused."),
@@ -89,7 +92,7 @@
 	}
 	b.registerCallback(func(o metric.Observer) { g.report(o, source()) },
 		g.ready, g.decider, g.term, g.limit, g.inFlight, g.queued, g.roles, g.vms, g.missing, g.drains,
-		g.position, g.fault, g.era, g.age, g.failures, g.refused, g.duplicates, g.restores)
+		g.position, g.fault, g.era, g.limited, g.age, g.failures, g.refused, g.duplicates, g.restores)
 }
 
 // report passes the state to the instruments.
@@ -101,6 +104,7 @@
 	o.ObserveInt64(g.missing, int64(s.MissingVMs))
 	o.ObserveInt64(g.drains, int64(s.PendingDrains))
 	o.ObserveInt64(g.era, s.LogEra)
+	o.ObserveInt64(g.limited, int64(s.LimitedBackends))
 	for kind, count := range s.Roles {
 		o.ObserveInt64(g.roles, int64(count), metric.WithAttributeSet(attributes(labels{"kind"}, labels{kind})))
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -140,6 +140,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.servers = forward.NewServers(r.clock, o.Domain, o.Cold, o.Protocol, random, r.limiter.VMCount)
 	r.servers.KeyedLeaveGrace = o.DrainWithin
+	r.servers.Log = r.log
 	r.servers.Memory = membudget.New(int64(responseMemoryFraction * float64(o.MemoryBytes)))
 	m, err := metrics.New(r.metricsState)
 	if err != nil {
@@ -442,7 +443,7 @@
 
 // metricsState returns the current values of the gauges.
 func (r *Router) metricsState() metrics.State {
-	state := metrics.State{Ready: r.ready(), Decider: r.isLeaseHolder.Load(), VMs: r.limiter.VMCount()}
+	state := metrics.State{Ready: r.ready(), Decider: r.isLeaseHolder.Load(), VMs: r.limiter.VMCount(), LimitedBackends: r.servers.LimitedCount()}
 	if next, ok := r.lessor.Follower().Cursor(); ok {
 		state.LogEra = next.Era
 	}
