Add failing tests for backend servers that name a limit

A model of 1 to 295 VMs under a fake clock, whose callers ask for more than the service bears: one backend server names a limit and goes on getting its full part of the requests, as in the users' record.

--- /dev/null
+++ b/internal/forward/limit_test.go
@@ -0,0 +1,198 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/directory"
+	"fireflyfield/internal/fleet"
+)
+
+// limitModel is a fleet of VMs under a fake clock whose callers ask for more than a service
+// bears, of which one backend server names a limit in its answers.
+type limitModel struct {
+	clock    *clock.Fake
+	random   *rand.Rand
+	service  *fleet.Service
+	view     *directory.View
+	vms      []*Servers
+	running  []limitedRequest
+	limit    float64 // 0 while none is named
+	arrivals []limitedRequest
+	// toldAt is when each VM received the first answer with a limit.
+	toldAt map[*Servers]time.Duration
+}
+
+// limitedRequest is a request at a backend server.
+type limitedRequest struct {
+	vm   *Servers
+	b    *backend
+	sent time.Duration
+	ends time.Duration
+}
+
+// limitedServer is the backend server that names the limit, and workTime the time of a request.
+const (
+	limitedServer = "b0"
+	workTime      = 50 * time.Millisecond
+)
+
+// newLimitModel returns a fleet with the given number of VMs. The service has nine backend
+// servers; if it is keyed, all requests are for keys of the first one.
+func newLimitModel(vms int, keyed bool) *limitModel {
+	m := &limitModel{
+		clock: &clock.Fake{Time: time.Minute}, random: rand.New(rand.NewPCG(7, uint64(vms))),
+		service: &fleet.Service{Name: "s", Keyed: keyed}, toldAt: make(map[*Servers]time.Duration),
+	}
+	m.view = &directory.View{Config: &fleet.Config{Services: []fleet.Service{*m.service}}, Backends: make(map[string]directory.Backend)}
+	m.view.Config.Index()
+	for i := range 9 {
+		id := fmt.Sprint("b", i)
+		m.view.Backends[id] = directory.Backend{Backend: fleet.Backend{ID: id, Service: "s", Domain: "d", Slots: 40, Started: 1}}
+	}
+	for i := range vms {
+		m.vms = append(m.vms, NewServers(m.clock, "d", ColdLimits{}, testProtocol{}, rand.New(rand.NewPCG(uint64(i), 3)), func() int { return vms }))
+	}
+	return m
+}
+
+// run advances the clock by d in steps of 5 ms. requestsPerSecond arrive at all VMs together.
+func (m *limitModel) run(d time.Duration, requestsPerSecond float64) {
+	const step = 5 * time.Millisecond
+	for end := m.clock.Time + d; m.clock.Time < end; m.clock.Time += step {
+		m.answerFinished()
+		for range m.poisson(requestsPerSecond * step.Seconds()) {
+			m.request(m.vms[m.random.IntN(len(m.vms))])
+		}
+	}
+}
+
+// poisson returns the number of events in a step with the given small mean.
+func (m *limitModel) poisson(mean float64) int {
+	count := 0
+	for wait := m.random.ExpFloat64(); wait < mean; wait += m.random.ExpFloat64() {
+		count++
+	}
+	return count
+}
+
+// request sends one request of a caller from a VM, if the VM may send it now.
+func (m *limitModel) request(vm *Servers) {
+	var b *backend
+	if m.service.Keyed {
+		w := &waiter{deadline: m.clock.Time + time.Second, ready: make(chan struct{})}
+		var reason pickReason
+		if b, reason = vm.acquireOrQueue(m.view, limitedServer, m.service, w, workTime, time.Second); reason != pickOK {
+			return
+		}
+	} else if b, _ = vm.pick(m.view, m.service, nil, workTime, time.Second); b == nil {
+		return
+	}
+	r := limitedRequest{vm: vm, b: b, sent: m.clock.Time, ends: m.clock.Time + workTime}
+	m.running = append(m.running, r)
+	if b.ID == limitedServer {
+		m.arrivals = append(m.arrivals, r)
+	}
+}
+
+// answerFinished delivers the answers of the requests that have ended.
+func (m *limitModel) answerFinished() {
+	m.running = slices.DeleteFunc(m.running, func(r limitedRequest) bool {
+		if m.clock.Time < r.ends {
+			return false
+		}
+		answer := ResponseHeaders{HasLoad: true, Load: Load{Slots: 40, Slowness: 1}}
+		if r.b.ID == limitedServer && m.limit > 0 {
+			answer.Limit, answer.HasLimit = m.limit, true
+			if _, told := m.toldAt[r.vm]; !told {
+				m.toldAt[r.vm] = m.clock.Time
+			}
+		}
+		r.vm.endRequest(r.b, m.service, func(now time.Duration) {
+			r.vm.applyNotices(r.b, &answer, now)
+			r.b.applyLoad(answer.Load, now)
+			r.b.recordSuccess(1, now)
+		})
+		return true
+	})
+}
+
+// most returns the largest number of requests in 4 s from the given time on, of VMs that were
+// told half a second before.
+func (m *limitModel) most(from time.Duration) int {
+	var counted []time.Duration
+	for _, r := range m.arrivals {
+		if told, ok := m.toldAt[r.vm]; ok && r.sent >= from && r.sent >= told+500*time.Millisecond {
+			counted = append(counted, r.sent)
+		}
+	}
+	most, first := 0, 0
+	for i, at := range counted {
+		for counted[first] <= at-4*time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// since returns the number of requests at the limited server from the given time on.
+func (m *limitModel) since(from time.Duration) int {
+	count := 0
+	for _, r := range m.arrivals {
+		if r.sent >= from {
+			count++
+		}
+	}
+	return count
+}
+
+// A backend server that names a limit must not get more than one and a half times of it in 4 s
+// from all VMs together, 5 requests allowed beside: each VM went on choosing it by load, at four
+// times its limit. It must still get a good part of what it accepts.
+func TestServerLimit(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		for _, vms := range []int{1, 10, 80, 295} {
+			for _, limit := range []float64{1, 4.5, 20} {
+				t.Run(fmt.Sprintf("keyed=%v/vms=%d/limit=%g", keyed, vms, limit), func(t *testing.T) {
+					is := is.New(t)
+					m := newLimitModel(vms, keyed)
+					demand := float64(40 * 9)
+					if keyed {
+						demand = 60
+					}
+					m.run(4*time.Second, demand)
+					named := m.clock.Time
+					m.limit = limit
+					m.run(40*time.Second, demand)
+					from := named + 3*time.Second
+					is.True(m.most(from) <= int(1.5*limit*4+5))
+					average := float64(m.since(from)) / (m.clock.Time - from).Seconds()
+					is.True(average >= limit/2)
+				})
+			}
+		}
+	}
+}
+
+// When a backend server names a limit no more, it must get its part of the requests again.
+func TestServerLimitEnds(t *testing.T) {
+	is := is.New(t)
+	m := newLimitModel(10, false)
+	m.limit = 4.5
+	m.run(8*time.Second, 360)
+	limited := m.clock.Time
+	m.run(8*time.Second, 360)
+	is.True(m.since(limited) < 8*8)
+	m.limit = 0
+	m.run(5*time.Second, 360)
+	ended := m.clock.Time
+	m.run(8*time.Second, 360)
+	is.True(m.since(ended) > 8*20)
+}
