Keep to the limit that a backend server names, over all VMs together

Callers: a backend server in need got 52 to 118 requests in 4 s where 30 to 33 are allowed, since its limit was not read. Evidence: its requests did not change when it named the limit; TestServerLimit, 1 to 295 VMs, fails at all sizes before. Each VM takes an even part of nine tenths of the limit and spaces its requests, the first one at a random time, so that the VMs need not agree. A server with a limit is unavailable in between; a request goes elsewhere, waits for the owner of its key if the limit allows one in time, or is rejected at once as backends-limited. Retry-After is when any VM may send the next request. An answer ends the limit only if its request was sent after the last answer with one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -178,7 +178,7 @@
 			f.Servers.endRequest(r.b, service, func(now time.Duration) {
 				if response := r.result.Response; response != nil {
 					parsed := f.Protocol.ParseResponse(response.Status, response.Header)
-					f.Servers.applyNotices(r.b, &parsed, now)
+					f.Servers.applyNotices(r.b, &parsed, now-r.event.Took, now)
 					response.Release()
 				}
 			})
@@ -294,7 +294,7 @@
 	failed := response.Status >= http.StatusInternalServerError
 	usualLatency := f.usualLatency(rs.route)
 	f.Servers.endRequest(b, rs.service, func(now time.Duration) {
-		f.Servers.applyNotices(b, &parsed, now)
+		f.Servers.applyNotices(b, &parsed, now-event.Took, now)
 		if parsed.HasLoad {
 			b.applyLoad(parsed.Load, now)
 		}
@@ -368,12 +368,13 @@
 }
 
 // rejectUnavailable rejects a request for which no backend server is available. During
-// pauses the caller is told to return when the first one ends: of the whole service, or of
-// the backend server with the given ID, which is the only one that may serve the request.
+// pauses and within limits the caller is told to return when the first backend server takes
+// a request again: of the whole service, or the one with the given ID, which is the only one
+// that may serve the request.
 func (f *Forwarder) rejectUnavailable(rs *requestState, name string, reason pickReason, id string) *Answer {
 	answer := f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, name)
-	if reason == pickPaused {
-		answer.Header.Set("Retry-After", formatSeconds(f.Servers.shortestPause(rs.service.Name, id)+f.retryAfter()))
+	if reason.hasDelay() {
+		answer.Header.Set("Retry-After", formatSeconds(f.Servers.shortestDelay(rs.service.Name, id)+f.retryAfter()))
 	}
 	return answer
 }
@@ -399,11 +400,15 @@
 			}
 		}
 		now := f.Clock.Now()
-		if now >= until || ctx.Err() != nil || reason == pickAllFull || reason == pickTooLate || reason == pickPaused {
+		delay := ownerRetryDelay
+		if reason == pickLimited {
+			delay = f.Servers.limitWaitOf(rs.event.Owner)
+		}
+		if now >= until || ctx.Err() != nil || reason == pickAllFull || reason == pickTooLate || reason == pickPaused || reason == pickLimited && now+delay > until {
 			rs.event.OwnerWait += now - started
 			return nil, f.rejectUnavailable(rs, "owner-"+string(reason), reason, rs.event.Owner)
 		}
-		wait(ctx, min(until-now, ownerRetryDelay), tableChanged, viewChanged)
+		wait(ctx, min(until-now, ownerRetryDelay, delay), tableChanged, viewChanged)
 	}
 }
 
@@ -424,8 +429,11 @@
 		return b, pickOK
 	}
 	f.Servers.cancelWait(b, rs.service, w)
-	if moved || !f.Servers.mayReceive(f.Directory.View(), b) {
+	switch {
+	case moved || !f.Servers.mayReceive(f.Directory.View(), b):
 		return nil, pickNoServer
+	case f.Servers.limitWaitOf(b.ID) > 0:
+		return nil, pickLimited
 	}
 	return nil, pickAllFull
 }
--- a/internal/forward/backend.go
+++ b/internal/forward/backend.go
@@ -100,6 +100,8 @@
 		return pickNoServer
 	case b.remainingPause(now) > 0:
 		return pickPaused
+	case b.limitWait(now) > 0:
+		return pickLimited
 	case now < b.coldUntil && now < b.nextColdRequest:
 		return pickColdLimit
 	case stats.Full():
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -133,6 +133,28 @@
 	})
 }
 
+// assignAllKeys makes the service a keyed one, of which the first backend server owns all keys.
+func (s *testForwarder) assignAllKeys(t *testing.T) {
+	t.Helper()
+	s.Directory.View().Config.Services[0].Keyed = true
+	assignment := keyrange.Assignment{Holder: "vm", Services: map[string][]keyrange.Entry{
+		"s": {{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}, Backend: "b0", Fence: 1}},
+	}}
+	content, err := assignment.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	lessor := keylease.NewLessor(keylease.LessorOptions{Clock: clock.System{}, Table: s.Table, Logger: zap.NewNop()})
+	lessor.Follower().Deliver(sharedlog.Batch{Records: []sharedlog.Record{{Key: "assignment", Value: content}}, Next: 1}, directory.BatchInfo{Snapshot: true})
+}
+
+// keyedRequest sends a request for key 7.
+func (s *testForwarder) keyedRequest(id string) *Answer {
+	return s.Handle(context.Background(), &Request{
+		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"X-Id": {id}, "X-Number": {"7"}}, Received: clock.System{}.Now(),
+	})
+}
+
 // A request that is not idempotent must run at most once, and its caller must not be
 // told "not run" when the outcome is unknown. Both backend servers lose the response.
 func TestNonIdempotentRunsOnce(t *testing.T) {
@@ -421,18 +443,8 @@
 		}
 		respondSigned(w, r)
 	})
-	s.Directory.View().Config.Services[0].Keyed = true
-	assignment := keyrange.Assignment{Holder: "vm", Services: map[string][]keyrange.Entry{
-		"s": {{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}, Backend: "b0", Fence: 1}},
-	}}
-	content, err := assignment.Encode()
-	is.NoErr(err)
-	lessor := keylease.NewLessor(keylease.LessorOptions{Clock: clock.System{}, Table: s.Table, Logger: zap.NewNop()})
-	lessor.Follower().Deliver(sharedlog.Batch{Records: []sharedlog.Record{{Key: "assignment", Value: content}}, Next: 1}, directory.BatchInfo{Snapshot: true})
-	answer := s.Handle(context.Background(), &Request{
-		Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"X-Id": {"1"}, "X-Number": {"7"}}, Received: clock.System{}.Now(),
-	})
-	is.Equal(answer.Status, http.StatusOK)
+	s.assignAllKeys(t)
+	is.Equal(s.keyedRequest("1").Status, http.StatusOK)
 	is.Equal((<-s.events).OwnerFence, int64(1))
 }
 
@@ -466,7 +478,7 @@
 func (m *noticeModel) answer(id string, headers ResponseHeaders) {
 	b := m.byID[id]
 	b.ownInFlight++
-	m.endRequest(b, m.service(b.Service), func(now time.Duration) { m.applyNotices(b, &headers, now) })
+	m.endRequest(b, m.service(b.Service), func(now time.Duration) { m.applyNotices(b, &headers, now, now) })
 }
 
 // targets returns the backend servers that 100 requests of an unkeyed service go to.
@@ -536,7 +548,7 @@
 	m.answer("s2", ResponseHeaders{NotRun: true, Pause: 3 * time.Second})
 	m.answer("s3", ResponseHeaders{NotRun: true, Pause: 4 * time.Second})
 	is.Equal(m.targets("s")[string(pickPaused)], 100)
-	is.Equal(m.shortestPause("s", ""), 2*time.Second)
+	is.Equal(m.shortestDelay("s", ""), 2*time.Second)
 	m.clock.Time += 1500 * time.Millisecond
 	is.Equal(m.targets("s")[string(pickPaused)], 100)
 	m.clock.Time += 500 * time.Millisecond
@@ -545,7 +557,7 @@
 	m.owner()
 	m.answer("k1", ResponseHeaders{NotRun: true, Pause: time.Second})
 	is.Equal(m.owner(), pickPaused)
-	is.Equal(m.shortestPause("k", "k1"), time.Second)
+	is.Equal(m.shortestDelay("k", "k1"), time.Second)
 	m.clock.Time += time.Second
 	is.Equal(m.owner(), pickOK)
 }
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -29,7 +29,7 @@
 	m.view = listed
 	m.targets("s")
 	m.endRequest(before, m.service("s"), func(now time.Duration) {
-		m.applyNotices(before, &ResponseHeaders{Leaving: true}, now)
+		m.applyNotices(before, &ResponseHeaders{Leaving: true}, now, now)
 	})
 	is.Equal(m.targets("s")["s1"], 0)
 }
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -115,7 +116,7 @@
 			}
 		}
 		r.vm.endRequest(r.b, m.service, func(now time.Duration) {
-			r.vm.applyNotices(r.b, &answer, now)
+			r.vm.applyNotices(r.b, &answer, r.sent, now)
 			r.b.applyLoad(answer.Load, now)
 			r.b.recordSuccess(1, now)
 		})
@@ -196,3 +197,62 @@
 	m.run(8*time.Second, 360)
 	is.True(m.since(ended) > 8*20)
 }
+
+// An answer that was made before the limit, or that may have been, must not end it: it arrives
+// on another connection after the answer that names the limit.
+func TestLimitOutlastsEarlierAnswers(t *testing.T) {
+	is := is.New(t)
+	var l requestLimit
+	is.True(l.observe(true, 4, 1*time.Second, 2*time.Second, 10, 0.5))
+	is.True(!l.observe(false, 0, 1900*time.Millisecond, 3*time.Second, 10, 0.5))
+	is.True(l.named)
+	is.True(l.observe(false, 0, 2100*time.Millisecond, 4*time.Second, 10, 0.5))
+	is.True(!l.named)
+	is.Equal(l.wait(4*time.Second), time.Duration(0))
+}
+
+// A request must wait for its owner if the limit allows one soon. If not, it must be rejected at
+// once, and the caller told when the owner takes a request of any VM.
+func TestLimitedOwner(t *testing.T) {
+	is := is.New(t)
+	f := newTestForwarder(t, false, respondSigned)
+	f.assignAllKeys(t)
+	is.Equal(f.keyedRequest("1").Status, http.StatusOK)
+	name := func(limit float64) {
+		f.Servers.mu.Lock()
+		defer f.Servers.mu.Unlock()
+		now := f.Clock.Now()
+		b := f.Servers.byID["b0"]
+		f.Servers.applyNotices(b, &ResponseHeaders{Limit: limit, HasLimit: true}, now, now)
+		b.notice.limit.sent(1, now)
+	}
+	name(4)
+	is.Equal(f.keyedRequest("2").Status, http.StatusOK)
+	name(0.4)
+	answer := f.keyedRequest("3")
+	is.Equal(answer.Status, http.StatusServiceUnavailable)
+	is.True(answer.Header.Get("Retry-After") > "2.5")
+	for range 2 {
+		<-f.events
+	}
+	event := <-f.events
+	is.Equal(event.Reason, "owner-backends-limited")
+	is.True(event.OwnerWait < 100*time.Millisecond)
+}
+
+// Of 80 VMs, each may send one request in 22 s to a backend server that accepts 4 in a second.
+// A caller must be told to return when the server takes a request of any VM.
+func TestRetryAfterAtLimitedServer(t *testing.T) {
+	is := is.New(t)
+	m := newOwnerModel(530)
+	_, b, _ := m.acquire(1, time.Second)
+	m.endRequest(b, m.service, func(now time.Duration) {
+		m.applyNotices(b, &ResponseHeaders{Limit: 4, HasLimit: true}, now, now)
+	})
+	m.clock.Time += m.limitWaitOf("b")
+	_, b, reason := m.acquire(1, time.Second)
+	is.Equal(reason, pickOK)
+	m.finishRequest(b)
+	is.True(m.limitWaitOf("b") > 20*time.Second)
+	is.True(m.shortestDelay("s", "b") < 300*time.Millisecond)
+}
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -26,14 +26,13 @@
 	leavingSince time.Duration
 	// pausedUntil is the end of the pause that the process has asked this VM for.
 	pausedUntil time.Duration
-	// limited is set while the process names a limit, which is limit requests per second.
-	limited   bool
-	limit     float64
-	updatedAt time.Duration
+	limit       requestLimit
+	updatedAt   time.Duration
 }
 
-// applyNotices records what an answer says of its backend server. The caller holds s.mu.
-func (s *Servers) applyNotices(b *backend, answer *ResponseHeaders, now time.Duration) {
+// applyNotices records what the answer to a request that was sent at sentAt says of its
+// backend server. The caller holds s.mu.
+func (s *Servers) applyNotices(b *backend, answer *ResponseHeaders, sentAt, now time.Duration) {
 	if !answer.Leaving && answer.Pause <= 0 && !answer.HasLimit && b.notice == nil {
 		return
 	}
@@ -52,7 +51,7 @@
 	if answer.Pause > 0 {
 		b.notice.pausedUntil = max(b.notice.pausedUntil, now+answer.Pause)
 	}
-	s.applyLimit(b, answer)
+	s.applyLimit(b, answer, sentAt, now)
 	if answer.Leaving && b.notice.leavingSince == 0 {
 		b.notice.leavingSince = now
 		if !b.keyed {
@@ -62,13 +61,21 @@
 	}
 }
 
-// applyLimit records whether the backend server names a limit. The caller holds s.mu.
-func (s *Servers) applyLimit(b *backend, answer *ResponseHeaders) {
-	if b.notice.limited != answer.HasLimit {
+// applyLimit records whether the answer names a limit. The caller holds s.mu.
+func (s *Servers) applyLimit(b *backend, answer *ResponseHeaders, sentAt, now time.Duration) {
+	if b.notice.limit.observe(answer.HasLimit, answer.Limit, sentAt, now, s.vms(), s.random.Float64()) {
 		s.Log.Info("limit of a backend server changed", zap.String("backend", b.ID), zap.String("service", b.Service),
 			zap.Bool("limited", answer.HasLimit), zap.Float64("limit", answer.Limit))
 	}
-	b.notice.limited, b.notice.limit = answer.HasLimit, answer.Limit
+}
+
+// limitWait returns the time until this VM may send the backend server a request within the
+// limit that it names.
+func (b *backend) limitWait(now time.Duration) time.Duration {
+	if b.notice == nil {
+		return 0
+	}
+	return b.notice.limit.wait(now)
 }
 
 // LimitedCount returns the number of backend servers that name a limit.
@@ -77,7 +84,7 @@
 	defer s.mu.Unlock()
 	count := 0
 	for _, b := range s.byID {
-		if b.notice != nil && b.notice.limited {
+		if b.notice != nil && b.notice.limit.named {
 			count++
 		}
 	}
@@ -101,22 +108,44 @@
 	return max(0, b.notice.pausedUntil-now)
 }
 
-// shortestPause returns the time until the first backend server of the service ends its
-// pause, or until the one with the given ID does if id is not empty.
-func (s *Servers) shortestPause(service, id string) time.Duration {
+// retryDelay returns the time after which a rejected caller may be served: after the pause, or
+// when the limit allows a request of any VM, since callers return to others.
+func (b *backend) retryDelay(now time.Duration) time.Duration {
+	delay := b.remainingPause(now)
+	if wait := b.limitWait(now); wait > 0 {
+		delay = max(delay, min(wait, b.notice.limit.meanInterval()))
+	}
+	return delay
+}
+
+// limitWaitOf returns limitWait of the backend server with the given ID, or 0 if it is not
+// listed.
+func (s *Servers) limitWaitOf(id string) time.Duration {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.byID[id]; b != nil {
+		return b.limitWait(now)
+	}
+	return 0
+}
+
+// shortestDelay returns the shortest retryDelay of the backend servers of the service that
+// have one, or that of the one with the given ID if id is not empty.
+func (s *Servers) shortestDelay(service, id string) time.Duration {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if id != "" {
 		if b := s.byID[id]; b != nil {
-			return b.remainingPause(now)
+			return b.retryDelay(now)
 		}
 		return 0
 	}
 	shortest := time.Duration(0)
 	for _, b := range s.byService[service] {
-		if pause := b.remainingPause(now); pause > 0 && (shortest == 0 || pause < shortest) {
-			shortest = pause
+		if delay := b.retryDelay(now); delay > 0 && (shortest == 0 || delay < shortest) {
+			shortest = delay
 		}
 	}
 	return shortest
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -200,9 +200,13 @@
 	pickTooLate   pickReason = "no-time"
 	pickColdLimit pickReason = "backends-cold"
 	pickPaused    pickReason = "backends-paused"
+	pickLimited   pickReason = "backends-limited"
 	pickQueued    pickReason = "queued"
 )
 
+// hasDelay reports whether it is known when a backend server is available again.
+func (r pickReason) hasDelay() bool { return r == pickPaused || r == pickLimited }
+
 // pick chooses the backend server with the least cost and takes a permit for it. It
 // compares a sample first, then all, and includes those with recent connection failures
 // only if there is no other. The backend servers in tried are left out.
@@ -244,8 +248,8 @@
 		}
 		stats := b.stats(now)
 		if unavailable := b.unavailableReason(&stats, now, usualLatency, timeLeft); unavailable != pickOK {
-			// Without a pause the caller may come back sooner.
-			if unavailable != pickPaused || reason == pickNoServer {
+			// Without a pause or a limit the caller may come back sooner.
+			if !unavailable.hasDelay() || reason == pickNoServer {
 				reason = unavailable
 			}
 			continue
@@ -297,6 +301,9 @@
 	if now < b.coldUntil {
 		b.nextColdRequest = now + s.coldSpacing(service)
 	}
+	if b.notice != nil {
+		b.notice.limit.sent(s.vms(), now)
+	}
 }
 
 // maxConnections returns the number of connections that this VM may have to one backend
--- a/internal/metrics/reason.go
+++ b/internal/metrics/reason.go
@@ -13,9 +13,9 @@
 	"no-backend-server", "no-idempotency-holder", "no-caller-key", "no-key", "no-lease", "no-owner", "not-gate", "not-ready",
 	"overloaded", "queue-full", "rate-exceeded", "result-unknown", "service-not-allowed", "shed", "stale-caller-keys", "too-many-idempotency-keys",
 	"unknown-caller-key", "unknown-service",
-	"attempts-used", "backend-refused", "backends-cold", "backends-full", "backends-paused", "caller-key-unknown", "caller-left",
+	"attempts-used", "backend-refused", "backends-cold", "backends-full", "backends-limited", "backends-paused", "caller-key-unknown", "caller-left",
 	"configuration-stale", "key-missing", "no-backend", "no-configuration", "no-route", "no-time", "not-owner", "not-sent",
-	"outcome-unknown", "owner-backends-cold", "owner-backends-full", "owner-backends-paused", "owner-no-backend", "owner-no-time", "retry-budget",
+	"outcome-unknown", "owner-backends-cold", "owner-backends-full", "owner-backends-limited", "owner-backends-paused", "owner-no-backend", "owner-no-time", "retry-budget",
 	"service-unknown", "timeout", "vm-stops",
 )
 
