Move keys away from an owner that names a limit

Callers of the keys of a backend server in need were rejected (owner-backends-limited) for as long as its limit held, though other servers had room: the lease holder did not know of the limit. VMs report the limits of owners, and the lease holder lowers the capacity of such a server so that its keys load it with at most four fifths of its limit.

--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -167,3 +167,20 @@
 	}
 	return leaving
 }
+
+// OwnerLimits returns the limits in requests per second that backend servers of keyed services
+// name, by ID, so that the lease holder can move keys away.
+func (s *Servers) OwnerLimits() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var limits map[string]float64
+	for _, b := range s.byID {
+		if b.keyed && b.notice != nil && b.notice.limit.named {
+			if limits == nil {
+				limits = make(map[string]float64)
+			}
+			limits[b.ID] = b.notice.limit.rate
+		}
+	}
+	return limits
+}
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -51,13 +51,14 @@
 	allocator        *share.Allocator
 	weights          map[string]*keyrange.Weight // load of the keys, by service
 	speeds           *speedModel
-	leaving          map[string]int64   // start of the process of leaving owners of keys, by ID
+	leaving          map[string]int64 // start of the process of leaving owners of keys, by ID
+	limits           ownerLimits
 	decayedAt        time.Duration      // when weights last decayed
 	stopFollower     context.CancelFunc // ends the reads of the report topic; nil if there are none
 }
 
 func newCollector(r *Router) *collector {
-	return &collector{router: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight), speeds: newSpeedModel(), leaving: make(map[string]int64)}
+	return &collector{router: r, allocator: share.NewAllocator(), weights: make(map[string]*keyrange.Weight), speeds: newSpeedModel(), leaving: make(map[string]int64), limits: make(ownerLimits)}
 }
 
 // run sends reports until ctx ends or the VM stops. While a relay is in use, reports are
@@ -152,7 +153,7 @@
 		Member: share.Member{VM: c.router.options.VM, Domain: c.router.options.Domain, Address: c.router.options.PeerListen, FanOut: c.router.options.RelayFanOut},
 		Number: number, Demand: demand, Keys: c.router.forwarder.TakeKeyCounts(),
 		Counts: c.router.limiter.TakeCounts(), Latencies: c.router.servers.TakeLatencies(c.isKeyed),
-		Leaving: c.router.servers.LeavingOwners(),
+		Leaving: c.router.servers.LeavingOwners(), Limits: c.router.servers.OwnerLimits(),
 	})
 }
 
@@ -225,6 +226,9 @@
 		c.speeds.observe(latency, now)
 	}
 	maps.Copy(c.leaving, report.Leaving)
+	if view := c.router.directory.View(); view != nil {
+		c.limits.observe(report.Limits, view, now)
+	}
 }
 
 // withdrawReport removes this VM's report from the shared log, so that its shares go to
@@ -365,6 +369,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.speeds.dropStale(now)
+	c.limits.dropStale(now)
 	maps.DeleteFunc(c.leaving, func(id string, started int64) bool { return view.Backends[id].Started != started })
 	for id, backend := range view.Backends {
 		if _, keyed := input.Servers[backend.Service]; !keyed {
@@ -378,6 +383,11 @@
 			ID: id, Address: backend.Address, Started: backend.Started, Usable: view.Usable(&backend) && !c.isLeaving(&backend), Capacity: capacity,
 		})
 	}
+	for name, servers := range input.Servers {
+		if weight := c.weights[name]; weight != nil {
+			c.limits.reduceCapacities(servers, weight.RangeLoad(keyrange.Range{First: 0, Last: keyrange.MaxKey})/keyLoadTimeConstant.Seconds())
+		}
+	}
 	return input
 }
 
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -65,6 +65,8 @@
 	// Leaving are the owners of keys that have said in an answer that they leave: the start
 	// of the process as Unix time in ms, by ID.
 	Leaving map[string]int64 `cbor:"6,keyasint,omitempty"`
+	// Limits are the limits that owners of keys name, in requests per second, by ID.
+	Limits map[string]float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Allotment is the division of the rates of all workspaces among the VMs. It does not list
