--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -448,3 +448,57 @@
 	is.Equal(Fallbacks(members, "27", "d", "holder"), []string{"a7"})
 	is.Equal(len(Fallbacks(members, "7", "d", "holder")), 0)
 }
+
+// TestReportsAvoidCutOffRelay guards against VMs that are dropped from the members, whose number
+// divides the limits of cold backend servers, rates and connections, although they serve callers:
+// their reports went to a relay that is cut off from the shared log and from the lease holder.
+func TestReportsAvoidCutOffRelay(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := func(cache *Cache, onReports func([][]byte)) string {
+		peers := peer.NewServer(peer.Identity{Version: peer.Version, VM: "relay"}, "", zap.NewNop())
+		Serve(peers, cache, onReports, func() bool { return false })
+		server := httptest.NewServer(peers)
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	now := clock.System{}.Now
+	cutOff, connected := NewCache(now, nil), NewCache(now, nil)
+	cutOff.put("t", sharedlog.Batch{Next: 1}, directory.BatchInfo{Snapshot: true, ConfirmedAt: now() - time.Minute})
+	log := &countingLog{}
+	log.put("k", "v")
+	var sink recordingSink
+	reader := sink.follower(zap.NewNop())
+	connected.Wrap(reader)
+	go reader.Run(ctx, log)
+	eventually(t, "the relay has read the log", func() bool { return sink.get("k") == "v" })
+
+	received := make(chan string, 10)
+	first := start(cutOff, func([][]byte) {})
+	second := start(connected, func(reports [][]byte) {
+		for _, report := range reports {
+			received <- string(report)
+		}
+	})
+	due := [][]byte{[]byte("report")}
+	var leafSink recordingSink
+	client := &Client{
+		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{leafSink.follower(zap.NewNop())},
+		Address: func() (string, bool) { return first, false }, Fallbacks: func() []string { return []string{second} }, MaxStaleness: testStaleness,
+		Reports: func() [][]byte {
+			reports := due
+			due = nil
+			return reports
+		},
+		Now: now, Log: zap.NewNop(),
+	}
+	client.AttachFollowers()
+	go client.Run(ctx)
+	select {
+	case report := <-received:
+		is.Equal(report, "report")
+	case <-time.After(5 * time.Second):
+		t.Fatal("the report did not reach the relay that is connected")
+	}
+}
