Take no reports at a relay that is cut off; hand them to the next one

VMs whose relay was cut off from the log and from the new lease holder kept handing it their reports, since they poll it first and fall back. The lease holder dropped them after 5 s; 3 of 11 VMs divided the limit of the server, and would have divided rates and named limits. A relay whose records are older than 2.5 s refuses reports, and the VM keeps them, up to 64 KiB, for the next relay that answers.

--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -147,3 +147,15 @@
 	defer c.mu.Unlock()
 	return c.changed
 }
+
+// age returns the age of the topic that was confirmed the longest time ago, or 0 before the
+// first batch.
+func (c *Cache) age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, t := range c.topics {
+		oldest = max(oldest, c.now()-t.info.ConfirmedAt)
+	}
+	return oldest
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,7 +36,13 @@
 	// less stale than the 2.5 s within which a backend server that leaves must get no more
 	// requests.
 	maxRelayAge = 1500 * time.Millisecond
-	// maxReaderAge is the same for the VMs that the others of a failure domain fall back to.
+	// maxReportingAge is the age of a relay's records above which it takes no reports. Reports
+	// count for 5 s, so that the VMs can hand them to another relay in time.
+	maxReportingAge = 2500 * time.Millisecond
+	// maxPendingBytes bounds the reports that a VM keeps while no relay takes them, so that
+	// they fit into a poll together with new ones.
+	maxPendingBytes = 64 << 10
+	// maxReaderAge is the same as maxRelayAge for the VMs that the others of a failure domain fall back to.
 	// It is shorter, so that these have new records when the others need them.
 	maxReaderAge = 1200 * time.Millisecond
 	// ownReadMargin is subtracted from Client.MaxStaleness for an own read of the shared log.
@@ -106,6 +112,8 @@
 	WaitedMs int64 `cbor:"2,keyasint"`
 	// ReadsFail is set if the relay itself reads the shared log now, and fails.
 	ReadsFail bool `cbor:"3,keyasint,omitempty"`
+	// ReportsRefused is set if the relay has dropped the reports of the poll.
+	ReportsRefused bool `cbor:"4,keyasint,omitempty"`
 }
 
 // topicReply holds the records of one topic from the cursor on, or the newest record of
@@ -135,16 +143,18 @@
 }
 
 // Serve registers a handler that answers polls from the cache. onReports gets the encoded
-// reports that a poll carries. readsFail reports whether own reads of the shared log fail.
+// reports that a poll carries, unless this relay is probably cut off from the lease holder.
+// readsFail reports whether own reads of the shared log fail.
 func Serve(s *peer.Server, c *Cache, onReports func(reports [][]byte), readsFail func() bool) {
 	peer.Handle(s, pollMessage, maxPollBytes, func(ctx context.Context, _ peer.Identity, p poll) (pollReply, error) {
-		if len(p.Reports) > 0 {
+		receivedAt := c.now()
+		refused := c.age() > maxReportingAge
+		if len(p.Reports) > 0 && !refused {
 			onReports(p.Reports)
 		}
-		receivedAt := c.now()
 		reply := c.waitForChange(ctx, p)
 		reply.WaitedMs = (c.now() - receivedAt).Milliseconds()
-		reply.ReadsFail = readsFail()
+		reply.ReadsFail, reply.ReportsRefused = readsFail(), refused
 		return reply, nil
 	})
 }
@@ -219,6 +229,7 @@
 	Log     *zap.Logger
 
 	confirmedAt time.Duration // time as of which the last answer was complete; used by Run only
+	pending     [][]byte      // reports that no relay has taken yet, oldest first; used by Run only
 	// avoidUntil is the time until which a relay that failed is not polled, by address. It is
 	// used by Run only.
 	avoidUntil map[string]time.Duration
@@ -407,7 +418,9 @@
 func (c *Client) poll(ctx context.Context, address string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
 	defer cancel()
-	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64), Reports: c.Reports()}
+	c.pending = append(c.pending, c.Reports()...)
+	c.dropOldPending()
+	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64), Reports: c.pending}
 	if c.Active() {
 		request.WaitMs = wait.Milliseconds()
 		request.AgeMs = (c.Now() - c.confirmedAt).Milliseconds()
@@ -427,6 +440,9 @@
 	if _, err := c.Peers.Call(ctx, address, pollMessage, request, &reply); err != nil {
 		return err
 	}
+	if !reply.ReportsRefused {
+		c.pending = nil
+	}
 	for _, f := range c.Followers {
 		if answer, ok := reply.Topics[f.Topic]; !ok || answer.Next == 0 && len(answer.Records) == 0 {
 			return errors.Errorf("relay has no records of topic %s", f.Topic)
@@ -446,6 +462,17 @@
 	return nil
 }
 
+// dropOldPending drops the oldest pending reports beyond maxPendingBytes.
+func (c *Client) dropOldPending() {
+	size := 0
+	for i, report := range slices.Backward(c.pending) {
+		if size += len(report); size > maxPendingBytes {
+			c.pending = slices.Clone(c.pending[i+1:])
+			return
+		}
+	}
+}
+
 // checkAge returns an error if the answer for the topic of the follower is older than maxAge.
 // An older answer is accepted while this VM cannot read the shared log either: if all VMs
 // kept reading an unavailable log, they would all read it at once when it returns.
