Append the reports to the shared log that a relay has refused or not answered

Reports come back to the collector now, which also appends them; so do those of an append that failed. Evidence: router.TestReturnedReportsAreAppended, which needs the new function; in the old code the report was not due again for 2 s, while polls took it every second.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,9 +39,6 @@
 	// maxReportingAge is the age of a relay's records above which it takes no reports. Reports
 	// count for 5 s, so that the VMs can hand them to another relay in time.
 	maxReportingAge = 2500 * time.Millisecond
-	// maxPendingBytes bounds the reports that a VM keeps while no relay takes them, so that
-	// they fit into a poll together with new ones.
-	maxPendingBytes = 64 << 10
 	// maxReaderAge is the same as maxRelayAge for the VMs that the others of a failure domain fall back to.
 	// It is shorter, so that these have new records when the others need them.
 	maxReaderAge = 1200 * time.Millisecond
@@ -225,11 +222,12 @@
 	MaxStaleness time.Duration
 	// Reports returns the encoded reports to send with the next poll.
 	Reports func() [][]byte
-	Now     func() time.Duration
-	Log     *zap.Logger
+	// ReturnReports gets the reports of a poll that its relay has refused or not answered.
+	ReturnReports func([][]byte)
+	Now           func() time.Duration
+	Log           *zap.Logger
 
 	confirmedAt time.Duration // time as of which the last answer was complete; used by Run only
-	pending     [][]byte      // reports that no relay has taken yet, oldest first; used by Run only
 	// avoidUntil is the time until which a relay that failed is not polled, by address. It is
 	// used by Run only.
 	avoidUntil map[string]time.Duration
@@ -418,9 +416,7 @@
 func (c *Client) poll(ctx context.Context, address string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
 	defer cancel()
-	c.pending = append(c.pending, c.Reports()...)
-	c.dropOldPending()
-	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64), Reports: c.pending}
+	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64), Reports: c.Reports()}
 	if c.Active() {
 		request.WaitMs = wait.Milliseconds()
 		request.AgeMs = (c.Now() - c.confirmedAt).Milliseconds()
@@ -437,11 +433,12 @@
 	}
 	sentAt := c.Now()
 	var reply pollReply
-	if _, err := c.Peers.Call(ctx, address, pollMessage, request, &reply); err != nil {
-		return err
+	_, err := c.Peers.Call(ctx, address, pollMessage, request, &reply)
+	if (err != nil || reply.ReportsRefused) && len(request.Reports) > 0 {
+		c.ReturnReports(request.Reports)
 	}
-	if !reply.ReportsRefused {
-		c.pending = nil
+	if err != nil {
+		return err
 	}
 	for _, f := range c.Followers {
 		if answer, ok := reply.Topics[f.Topic]; !ok || answer.Next == 0 && len(answer.Records) == 0 {
@@ -462,17 +459,6 @@
 	return nil
 }
 
-// dropOldPending drops the oldest pending reports beyond maxPendingBytes.
-func (c *Client) dropOldPending() {
-	size := 0
-	for i, report := range slices.Backward(c.pending) {
-		if size += len(report); size > maxPendingBytes {
-			c.pending = slices.Clone(c.pending[i+1:])
-			return
-		}
-	}
-}
-
 // checkAge returns an error if the answer for the topic of the follower is older than maxAge.
 // An older answer is accepted while this VM cannot read the shared log either: if all VMs
 // kept reading an unavailable log, they would all read it at once when it returns.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -124,7 +124,7 @@
 	client := &Client{
 		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{leaf},
 		Address: func() (string, bool) { return address, false }, Fallbacks: func() []string { return nil }, MaxStaleness: testStaleness, Reports: func() [][]byte { return [][]byte{[]byte("load")} },
-		Now: clock.System{}.Now, Log: zap.NewNop(),
+		ReturnReports: func([][]byte) {}, Now: clock.System{}.Now, Log: zap.NewNop(),
 	}
 	client.AttachFollowers()
 	go client.Run(ctx)
@@ -491,7 +491,8 @@
 			due = nil
 			return reports
 		},
-		Now: now, Log: zap.NewNop(),
+		ReturnReports: func(reports [][]byte) { due = reports },
+		Now:           now, Log: zap.NewNop(),
 	}
 	client.AttachFollowers()
 	go client.Run(ctx)
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	reportTimeout = 800 * time.Millisecond
 	// reportReadInterval is the least time between two reads of the report topic.
 	reportReadInterval = 900 * time.Millisecond
+	// maxForwardedBytes bounds the queued reports, so that they fit into a poll.
+	maxForwardedBytes = 128 << 10
 	// maxForwardedReports is the number of queued reports of other VMs from which on new
 	// ones are discarded.
 	maxForwardedReports = 512
@@ -45,16 +48,19 @@
 type collector struct {
 	router *Router
 
-	mu               sync.Mutex
-	reportedAt       time.Duration // when the last own report was made
-	forwardedReports [][]byte      // reports of other VMs on their way to the lease holder
-	allocator        *share.Allocator
-	weights          map[string]*keyrange.Weight // load of the keys, by service
-	speeds           *speedModel
-	leaving          map[string]int64 // start of the process of leaving owners of keys, by ID
-	limits           ownerLimits
-	decayedAt        time.Duration      // when weights last decayed
-	stopFollower     context.CancelFunc // ends the reads of the report topic; nil if there are none
+	mu         sync.Mutex
+	reportedAt time.Duration // when the last own report was made
+	// deliveredAt is when the last own report was made that did not come back, and
+	// deliveredBefore the same for the report before it.
+	deliveredAt, deliveredBefore time.Duration
+	forwardedReports             [][]byte // reports of other VMs on their way to the lease holder
+	allocator                    *share.Allocator
+	weights                      map[string]*keyrange.Weight // load of the keys, by service
+	speeds                       *speedModel
+	leaving                      map[string]int64 // start of the process of leaving owners of keys, by ID
+	limits                       ownerLimits
+	decayedAt                    time.Duration      // when weights last decayed
+	stopFollower                 context.CancelFunc // ends the reads of the report topic; nil if there are none
 }
 
 func newCollector(r *Router) *collector {
@@ -116,18 +122,47 @@
 		return false
 	}
 	c.reportedAt = now
+	c.deliveredBefore, c.deliveredAt = c.deliveredAt, now
 	return true
 }
 
 // beginDirectReportIfDue is beginReportIfDue for a VM that sends its reports without a
-// relay.
+// relay. Reports that came back from a relay do not count.
 func (c *collector) beginDirectReportIfDue() bool {
 	interval := directReportInterval
 	if c.router.isLeaseHolder.Load() {
 		interval = reportInterval // the report does not go through the shared log
 	}
+	now := c.router.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	// With the full interval, a tick that comes slightly early would make no report.
-	return c.beginReportIfDue(interval - reportInterval/2)
+	if now-c.deliveredAt < interval-reportInterval/2 {
+		return false
+	}
+	c.reportedAt, c.deliveredAt = now, now
+	return true
+}
+
+// returnReports takes back reports that a relay has refused or not answered, for the next
+// poll or the shared log.
+func (c *collector) returnReports(reports [][]byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deliveredAt = c.deliveredBefore
+	c.forwardedReports = newestReports(append(reports, c.forwardedReports...))
+}
+
+// newestReports returns the last of the reports, which are in order of their arrival, within
+// maxForwardedBytes.
+func newestReports(reports [][]byte) [][]byte {
+	size := 0
+	for i, report := range slices.Backward(reports) {
+		if size += len(report); size > maxForwardedBytes {
+			return slices.Clone(reports[i+1:])
+		}
+	}
+	return reports
 }
 
 // receive takes the reports that other VMs sent with their polls. The lease holder
@@ -190,7 +225,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	_, err = c.router.options.Log.Append(ctx, c.router.options.ReportTopic, records, sharedlog.AnyEnd)
+	if _, err = c.router.options.Log.Append(ctx, c.router.options.ReportTopic, records, sharedlog.AnyEnd); err != nil {
+		c.returnReports(reports)
+	}
 	return err
 }
 
--- a/internal/router/collector_test.go
+++ b/internal/router/collector_test.go
@@ -44,3 +44,31 @@
 	is.NoErr(r.collector.send(context.Background()))
 	is.Equal(len(log.records), 3) // each report is appended once
 }
+
+// TestReturnedReportsAreAppended guards against VMs that are dropped from the members while they
+// read the shared log themselves: the report that they had given to a relay which is cut off
+// counted as sent, and so did those of the VMs that poll them.
+func TestReturnedReportsAreAppended(t *testing.T) {
+	is := is.New(t)
+	log := &appendLog{}
+	r, err := New(Options{VM: "vm", Domain: "d", Log: log, ReportTopic: "reports", Logger: zap.NewNop(), RevokeWithin: 5 * time.Second})
+	is.NoErr(err)
+	report, err := share.Encode(share.Report{Member: share.Member{VM: "child", Domain: "d"}, Number: 9})
+	is.NoErr(err)
+	r.collector.receive([][]byte{report})
+	reports := r.collector.takeDueReports()
+	is.Equal(len(reports), 2)
+	is.True(!r.collector.beginDirectReportIfDue()) // they are on their way
+	r.collector.returnReports(reports)
+	is.True(r.collector.beginDirectReportIfDue())
+	is.NoErr(r.collector.send(context.Background()))
+	is.Equal(len(log.records), 3) // both and a new one
+	is.Equal(log.records[0].Key, "child")
+	is.True(!r.collector.beginDirectReportIfDue())
+
+	many := make([][]byte, 3)
+	for i := range many {
+		many[i] = make([]byte, maxForwardedBytes/2)
+	}
+	is.Equal(len(newestReports(many)), 2)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -181,7 +181,7 @@
 	r.peers = peer.NewServer(identity, "", r.log)
 	r.relay = &relay.Client{
 		Peers: peer.NewClient(identity, ""), Followers: r.followers, AddressFollower: r.lessor.Follower(), Address: r.relayAddress, Fallbacks: r.relayFallbacks,
-		Reports: r.collector.takeDueReports, MaxStaleness: r.options.MaxStaleness, Now: r.clock.Now, Log: r.log,
+		Reports: r.collector.takeDueReports, ReturnReports: r.collector.returnReports, MaxStaleness: r.options.MaxStaleness, Now: r.clock.Now, Log: r.log,
 	}
 	r.relay.AttachFollowers()
 	relay.Serve(r.peers, cache, r.collector.receive, r.relay.ReadsFail)
