--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -256,3 +256,59 @@
 	is.True(m.limitWaitOf("b") > 20*time.Second)
 	is.True(m.shortestDelay("s", "b") < 300*time.Millisecond)
 }
+
+// The end of a limit must become known in a failure domain although each of its VMs may send to
+// the backend server only now and then: with 50 VMs, one request in 12 s.
+func TestLimitEndIsShared(t *testing.T) {
+	is := is.New(t)
+	const vms = 50
+	m := newLimitModel(vms, false)
+	m.limit = 4.5
+	m.run(10*time.Second, 360)
+	m.limit = 0
+	for range 40 {
+		m.run(100*time.Millisecond, 360)
+		for _, from := range m.vms {
+			reports := from.CollectReports(100)
+			for _, to := range m.vms {
+				if to != from {
+					to.ApplyReports(reports)
+				}
+			}
+		}
+	}
+	limited := 0
+	for _, vm := range m.vms {
+		limited += vm.LimitedCount()
+	}
+	is.Equal(limited, 0)
+}
+
+// A VM that learns of a limit from another one must keep to it, and an end that another VM saw
+// before this VM saw the limit must not count.
+func TestReportedLimit(t *testing.T) {
+	is := is.New(t)
+	m := newLimitModel(2, false)
+	m.run(time.Second, 100)
+	m.limit = 4.5
+	told, other := m.vms[0], m.vms[1]
+	b := told.byID[limitedServer]
+	told.endRequest(b, m.service, func(now time.Duration) {
+		answer := ResponseHeaders{Limit: 4.5, HasLimit: true}
+		told.applyNotices(b, &answer, now, now)
+		b.applyLoad(Load{Slots: 40, Slowness: 1}, now)
+	})
+	b.ownInFlight++
+	other.ApplyReports(told.CollectReports(100))
+	is.Equal(other.LimitedCount(), 1)
+
+	state := other.byID[limitedServer]
+	other.endRequest(state, m.service, func(now time.Duration) {
+		other.applyNotices(state, &ResponseHeaders{}, now+time.Millisecond, now+time.Millisecond)
+		state.applyLoad(Load{Slots: 40, Slowness: 1}, now)
+	})
+	state.ownInFlight++
+	is.Equal(other.LimitedCount(), 0)
+	told.ApplyReports(other.CollectReports(100))
+	is.Equal(told.LimitedCount(), 1) // the answer may be older than the one with the limit
+}
