Let the VMs of a failure domain tell each other of limits

In a large fleet each VM may send to a limited backend server only now and then, so that it learned late that the limit had ended, and its callers went elsewhere or, at the owner of their key, were rejected meanwhile. Load reports carry the limit now, or its end for 10 s. An end that another VM reports counts as one second older, so that it does not end a limit that began since.

--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"fireflyfield/internal/loadshare"
+)
 
 const (
 	// limitFraction is the fraction of a limit that the VMs use. They send at independent
@@ -9,6 +13,11 @@
 	// minLimit is the limit in requests per second that counts if a backend server names a
 	// lower one: without any answer the VMs would not learn that the limit has ended.
 	minLimit = 0.25
+	// reportTransit bounds the time from the collection of a report to its arrival at another
+	// VM. An end that was reported counts as that much older.
+	reportTransit = time.Second
+	// endReportPeriod is how long other VMs are told that a limit has ended.
+	endReportPeriod = 10 * time.Second
 )
 
 // requestLimit is the limit that a process of a backend server names for the requests of all
@@ -19,27 +28,27 @@
 	// named is set while the process names a limit, of rate requests per second.
 	named bool
 	rate  float64
-	// observedAt is when the newest known answer was made, at the latest if it named a limit
-	// and at the earliest if not.
+	// observedAt is the time of the newest known answer, as in observe.
 	observedAt time.Duration
+	// changedAt is when this VM learned that the limit began or ended; 0 if it never did.
+	changedAt time.Duration
 	// next is the earliest time of this VM's next request.
 	next time.Duration
 }
 
-// observe records that an answer named a limit, or none. sentAt is when the request was sent
-// and now when the answer arrived. An answer without a limit counts only if it was certainly
-// made after the last one with a limit. jitter, from 0 to 1, spreads the first requests of the
-// VMs. It reports whether a limit began or ended.
-func (l *requestLimit) observe(named bool, rate float64, sentAt, now time.Duration, vms int, jitter float64) bool {
-	at := now
-	if !named {
-		at = sentAt
-	}
+// observe records that an answer named a limit, or none. at is when the answer with a limit
+// arrived, or when the request was sent whose answer names none: such an answer counts only if
+// it was certainly made after the last one with a limit. jitter, from 0 to 1, spreads the first
+// requests of the VMs. It reports whether a limit began or ended.
+func (l *requestLimit) observe(named bool, rate float64, at, now time.Duration, vms int, jitter float64) bool {
 	if at < l.observedAt {
 		return false
 	}
 	began, ended := named && !l.named, l.named && !named
 	l.named, l.rate, l.observedAt = named, rate, at
+	if began || ended {
+		l.changedAt = now
+	}
 	switch {
 	case began:
 		l.next = now + time.Duration(jitter*float64(l.spacing(vms)))
@@ -71,3 +80,11 @@
 		l.next = now + l.spacing(vms)
 	}
 }
+
+// report returns what other VMs are told of the limit, or nil if there was none lately.
+func (l *requestLimit) report(now time.Duration) *loadshare.Limit {
+	if !l.named && (l.changedAt == 0 || now-l.changedAt > endReportPeriod) {
+		return nil
+	}
+	return &loadshare.Limit{Named: l.named, Rate: l.rate, AgeMs: (now - l.observedAt).Milliseconds()}
+}
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -203,7 +203,7 @@
 func TestLimitOutlastsEarlierAnswers(t *testing.T) {
 	is := is.New(t)
 	var l requestLimit
-	is.True(l.observe(true, 4, 1*time.Second, 2*time.Second, 10, 0.5))
+	is.True(l.observe(true, 4, 2*time.Second, 2*time.Second, 10, 0.5))
 	is.True(!l.observe(false, 0, 1900*time.Millisecond, 3*time.Second, 10, 0.5))
 	is.True(l.named)
 	is.True(l.observe(false, 0, 2100*time.Millisecond, 4*time.Second, 10, 0.5))
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/loadshare"
 )
 
 const (
@@ -39,19 +40,15 @@
 	if current := s.byID[b.ID]; current != nil && current.Process() == b.Process() {
 		b = current // it may have been unlisted and listed again while the request was under way
 	}
-	if b.notice == nil {
-		b.notice = s.notices[b.Process()]
-	}
-	if b.notice == nil {
-		maps.DeleteFunc(s.notices, func(_ fleet.ProcessID, n *notice) bool { return now-n.updatedAt > noticeRetention })
-		b.notice = &notice{}
-		s.notices[b.Process()] = b.notice
-	}
-	b.notice.updatedAt = now
+	s.ensureNotice(b, now)
 	if answer.Pause > 0 {
 		b.notice.pausedUntil = max(b.notice.pausedUntil, now+answer.Pause)
 	}
-	s.applyLimit(b, answer, sentAt, now)
+	at := now
+	if !answer.HasLimit {
+		at = sentAt
+	}
+	s.applyLimit(b, answer.HasLimit, answer.Limit, at, now)
 	if answer.Leaving && b.notice.leavingSince == 0 {
 		b.notice.leavingSince = now
 		if !b.keyed {
@@ -61,12 +58,39 @@
 	}
 }
 
-// applyLimit records whether the answer names a limit. The caller holds s.mu.
-func (s *Servers) applyLimit(b *backend, answer *ResponseHeaders, sentAt, now time.Duration) {
-	if b.notice.limit.observe(answer.HasLimit, answer.Limit, sentAt, now, s.vms(), s.random.Float64()) {
+// applyLimit records what is known of a limit at the given time, as in requestLimit.observe.
+// The caller holds s.mu.
+func (s *Servers) applyLimit(b *backend, named bool, rate float64, at, now time.Duration) {
+	if b.notice.limit.observe(named, rate, at, now, s.vms(), s.random.Float64()) {
 		s.Log.Info("limit of a backend server changed", zap.String("backend", b.ID), zap.String("service", b.Service),
-			zap.Bool("limited", answer.HasLimit), zap.Float64("limit", answer.Limit))
+			zap.Bool("limited", named), zap.Float64("limit", rate))
+	}
+}
+
+// applyLimitReport records what another VM knows of a limit. The caller holds s.mu.
+func (s *Servers) applyLimitReport(b *backend, limit *loadshare.Limit, now time.Duration) {
+	if limit == nil || limit.AgeMs < 0 || !(limit.Rate >= 0) || !limit.Named && b.notice == nil {
+		return
+	}
+	at := now - time.Duration(limit.AgeMs)*time.Millisecond
+	if !limit.Named {
+		at -= reportTransit
 	}
+	s.ensureNotice(b, now)
+	s.applyLimit(b, limit.Named, limit.Rate, at, now)
+}
+
+// ensureNotice gives the backend server a notice if it has none. The caller holds s.mu.
+func (s *Servers) ensureNotice(b *backend, now time.Duration) {
+	if b.notice == nil {
+		b.notice = s.notices[b.Process()]
+	}
+	if b.notice == nil {
+		maps.DeleteFunc(s.notices, func(_ fleet.ProcessID, n *notice) bool { return now-n.updatedAt > noticeRetention })
+		b.notice = &notice{}
+		s.notices[b.Process()] = b.notice
+	}
+	b.notice.updatedAt = now
 }
 
 // limitWait returns the time until this VM may send the backend server a request within the
@@ -108,6 +132,14 @@
 	return max(0, b.notice.pausedUntil-now)
 }
 
+// limitReport returns what other VMs are told of the limit, or nil if there was none lately.
+func (b *backend) limitReport(now time.Duration) *loadshare.Limit {
+	if b.notice == nil {
+		return nil
+	}
+	return b.notice.limit.report(now)
+}
+
 // retryDelay returns the time after which a rejected caller may be served: after the pause, or
 // when the limit allows a request of any VM, since callers return to others.
 func (b *backend) retryDelay(now time.Duration) time.Duration {
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -456,6 +456,7 @@
 		b.unreported = false
 		reports = append(reports, loadshare.Report{
 			Backend: b.ID, InFlight: int(b.othersInFlight) + b.ownInFlight, Slowness: int(100 * b.slowness), AgeMs: (now - b.reportAt).Milliseconds(),
+			Limit: b.limitReport(now),
 		})
 	}
 	return reports
@@ -468,6 +469,9 @@
 	defer s.mu.Unlock()
 	for _, r := range reports {
 		b := s.byID[r.Backend]
+		if b != nil {
+			s.applyLimitReport(b, r.Limit, now)
+		}
 		reportedAt := now - time.Duration(r.AgeMs)*time.Millisecond
 		if b == nil || r.InFlight < 0 || r.Slowness <= 0 || reportedAt <= b.reportAt {
 			continue
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -42,6 +42,19 @@
 	Slowness int `cbor:"3,keyasint"`
 	// AgeMs is the age of the report in milliseconds.
 	AgeMs int64 `cbor:"4,keyasint"`
+	// Limit is what the backend server last said of a limit; nil if it has named none.
+	Limit *Limit `cbor:"5,keyasint,omitempty"`
+}
+
+// Limit is a limit that a backend server names on the requests of all VMs together.
+type Limit struct {
+	// Named is set if the limit holds, and not set if it has ended.
+	Named bool `cbor:"1,keyasint"`
+	// Rate is the limit in requests per second.
+	Rate float64 `cbor:"2,keyasint,omitempty"`
+	// AgeMs is the time in milliseconds since the answer that named the limit arrived, or
+	// since the request was sent whose answer named none.
+	AgeMs int64 `cbor:"3,keyasint"`
 }
 
 // Exchange sends and receives load reports over UDP. Lost datagrams are not sent again.
