Hand reports only to a relay that is in use

A VM that reads the shared log itself still polls its relay every 0.3 to 1 s and handed it its own and forwarded reports, which came back when the poll failed; an append of reports in that time found none due. Evidence: relay.TestDirectReaderKeepsReports fails before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -416,8 +416,10 @@
 func (c *Client) poll(ctx context.Context, address string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
 	defer cancel()
-	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64), Reports: c.Reports()}
+	request := poll{Cursors: make(map[string]int64, len(c.Followers)), Eras: make(map[string]int64)}
 	if c.Active() {
+		// A VM that reads the shared log itself appends its reports.
+		request.Reports = c.Reports()
 		request.WaitMs = wait.Milliseconds()
 		request.AgeMs = (c.Now() - c.confirmedAt).Milliseconds()
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -264,6 +264,7 @@
 type relayStandIn struct {
 	address   string
 	polls     atomic.Int64
+	reports   atomic.Int64 // number of reports received
 	age       atomic.Int64 // in ns
 	readsFail atomic.Bool
 }
@@ -273,8 +274,9 @@
 	t.Helper()
 	r := &relayStandIn{}
 	peers := peer.NewServer(peer.Identity{Version: peer.Version, VM: "relay"}, "", zap.NewNop())
-	peer.Handle(peers, pollMessage, maxPollBytes, func(context.Context, peer.Identity, poll) (pollReply, error) {
+	peer.Handle(peers, pollMessage, maxPollBytes, func(_ context.Context, _ peer.Identity, p poll) (pollReply, error) {
 		r.polls.Add(1)
+		r.reports.Add(int64(len(p.Reports)))
 		time.Sleep(5 * time.Millisecond)
 		topic := topicReply{Next: 5, Snapshot: true, AgeMs: time.Duration(r.age.Load()).Milliseconds(), FailedMs: -1}
 		return pollReply{Topics: map[string]topicReply{"t": topic}, ReadsFail: r.readsFail.Load()}, nil
@@ -303,7 +305,8 @@
 	c := &Client{
 		Peers: peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, ""), Followers: []*directory.Follower{f},
 		Address:   func() (string, bool) { return relays[0].address, false },
-		Fallbacks: func() []string { return fallbacks }, Reports: func() [][]byte { return nil }, MaxStaleness: testStaleness, Now: clock.System{}.Now, Log: zap.NewNop(),
+		Fallbacks: func() []string { return fallbacks }, Reports: func() [][]byte { return [][]byte{[]byte("report")} }, ReturnReports: func([][]byte) {},
+		MaxStaleness: testStaleness, Now: clock.System{}.Now, Log: zap.NewNop(),
 	}
 	c.AttachFollowers()
 	go c.Run(ctx)
@@ -503,3 +506,17 @@
 		t.Fatal("the report did not reach the relay that is connected")
 	}
 }
+
+// TestDirectReaderKeepsReports guards against reports that a VM which reads the shared log itself
+// hands to a relay with old records, while the VM should append them: they came back too late
+// for its next append.
+func TestDirectReaderKeepsReports(t *testing.T) {
+	is := is.New(t)
+	old := startRelay(t)
+	c, _ := startLeaf(t, old)
+	old.age.Store(int64(time.Minute))
+	eventually(t, "the VM reads the log itself", func() bool { return !c.Active() })
+	polls, reports := old.polls.Load(), old.reports.Load()
+	eventually(t, "the relay is polled again", func() bool { return old.polls.Load() > polls+2 })
+	is.Equal(old.reports.Load(), reports)
+}
