Reload the settings file when it changes without a signal

The platform may change the file without SIGHUP; the VM then kept its old grace period and bounds until the next signal. The file's attributes are checked once a second, and a change is read once two checks agree, since a file that is being written may lack fields that then get defaults. Test: cli.TestSettingsChangeWithoutSignal (the watcher is new).

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
@@ -100,7 +101,7 @@
 	if err != nil {
 		return fail(streams, err)
 	}
-	go c.reloadOnHangup(ctx, r, logger)
+	go c.reloadSettings(ctx, r, logger)
 	if err := r.Run(ctx); err != nil {
 		logger.Error("the VM stopped because of an error", logfield.Error(err))
 		return fail(streams, err)
@@ -108,17 +109,24 @@
 	return subcommands.ExitSuccess
 }
 
-// reloadOnHangup reloads the settings file at each SIGHUP until the context ends.
-// If the file is invalid, the previous settings stay in force.
-func (c *routeCommand) reloadOnHangup(ctx context.Context, r *router.Router, logger *zap.Logger) {
+// reloadSettings reloads the settings file at each SIGHUP and whenever it has changed, until
+// the context ends. If the file is invalid, the previous settings stay in force.
+func (c *routeCommand) reloadSettings(ctx context.Context, r *router.Router, logger *zap.Logger) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
+	watcher := newFileWatcher(c.settings)
+	ticker := time.NewTicker(settingsCheckInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
+		case <-ticker.C:
+			if !watcher.changed() {
+				continue
+			}
 		}
 		settings, err := platform.ReadSettings(c.settings)
 		if err != nil {
