Check in the soak that requests around a planned stop get their answers

A request that ran must have an answer if its VM stopped as planned in that time and neither the process nor its connections to callers had another fault.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,10 +47,12 @@
 	}},
 	{"VM paused", func(s *Soak, _ time.Duration) func() {
 		v := s.randomVM()
+		ended := v.stops.fault()
 		v.signal(syscall.SIGSTOP)
 		return func() {
 			s.resumedAt.Store(time.Now().UnixNano())
 			v.signal(syscall.SIGCONT)
+			ended()
 		}
 	}},
 	{"all VMs killed", func(s *Soak, duration time.Duration) func() {
@@ -64,7 +66,15 @@
 		return nil
 	}},
 	{"connections of a VM to the shared log impaired", func(s *Soak, _ time.Duration) func() { return s.impairProxy(s.randomVM().logProxy) }},
-	{"connections of callers to a VM impaired", func(s *Soak, _ time.Duration) func() { return s.impairProxy(s.randomVM().callerProxy) }},
+	{"connections of callers to a VM impaired", func(s *Soak, _ time.Duration) func() {
+		v := s.randomVM()
+		ended := v.stops.fault()
+		end := s.impairProxy(v.callerProxy)
+		return func() {
+			end()
+			ended()
+		}
+	}},
 	{"connections to a backend server impaired", func(s *Soak, _ time.Duration) func() { return s.impairProxy(s.randomBackend().currentProxy()) }},
 	{"connections to a backend server reset", func(s *Soak, _ time.Duration) func() {
 		s.randomBackend().currentProxy().Reset()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -32,6 +32,7 @@
 	// restarting is held while the process is ended and started again, so that a VM
 	// never has two processes.
 	restarting sync.Mutex
+	stops      stopLog
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -108,11 +109,18 @@
 func (v *vm) restart(signal syscall.Signal, delay time.Duration) {
 	v.restarting.Lock()
 	defer v.restarting.Unlock()
+	ended := func() {}
+	if signal == syscall.SIGTERM {
+		ended = v.stops.stop()
+	} else {
+		defer v.stops.fault()()
+	}
 	v.signal(signal)
 	v.mu.Lock()
 	done := v.done
 	v.mu.Unlock()
 	<-done
+	ended()
 	time.Sleep(delay)
 	if err := v.start(); err != nil {
 		v.soak.recordEvent("%s could not be restarted: %v", v.name, err)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -238,8 +238,10 @@
 		withdrawnAt, withdrawn := s.withdrawn[r.CallerKey]
 		late := withdrawn && time.Since(withdrawnAt) > revokeWithin
 		s.mu.Unlock()
+		sentAt := time.Now()
 		answer := platformtest.Send(client, target.address(), r)
 		s.checkAnswer(r, answer, late, withdrawn)
+		s.checkPlannedStop(r, answer, target, sentAt)
 		if answer.Status != http.StatusOK {
 			client.CloseIdleConnections()
 			target = s.vms[random.IntN(len(s.vms))]
@@ -281,6 +283,19 @@
 	}
 }
 
+// checkPlannedStop checks that a request which ran got an answer although its VM stopped as
+// planned. A backend server that breaks off is no excuse: the VM answers then.
+func (s *Soak) checkPlannedStop(r platformtest.Request, a platformtest.Answer, v *vm, sentAt time.Time) {
+	if a.Err == nil || time.Since(sentAt) >= r.Deadline || !v.stops.mustAnswer(sentAt) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[r.ID] > 0 {
+		s.addViolation("request %s ran and got no answer around the planned stop of %s: %v", r.ID, v.name, a.Err)
+	}
+}
+
 // addViolation records a broken guarantee. The caller holds the lock.
 func (s *Soak) addViolation(format string, args ...any) {
 	s.violations = append(s.violations, fmt.Sprintf("%6.2f s ", time.Since(s.started).Seconds())+fmt.Sprintf(format, args...))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"os/exec"
 	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"fireflyfield/platform/platformtest"
 )
 
 // buildBinary builds the executable in a directory of the test and returns its path.
@@ -83,3 +88,33 @@
 	case <-time.After(time.Second):
 	}
 }
+
+// TestPlannedStopCheck guards against a check of planned stops that finds nothing, or that
+// reports requests which a fault of the VM excuses.
+func TestPlannedStopCheck(t *testing.T) {
+	s := newSoak(Options{})
+	v := &vm{soak: s, name: "vm"}
+	r := platformtest.Request{ID: "r", Deadline: time.Second}
+	lost := platformtest.Answer{Err: io.EOF}
+	violations := func(sentAt time.Time) int {
+		s.violations = nil
+		s.checkPlannedStop(r, lost, v, sentAt)
+		return len(s.violations)
+	}
+	is := is.New(t)
+	s.runs["r"] = 1
+	is.Equal(violations(time.Now()), 0) // no stop
+	stopped := v.stops.stop()
+	is.Equal(violations(time.Now()), 1)
+	is.Equal(violations(time.Now().Add(-time.Minute)), 0) // its deadline has passed
+	sentAt := time.Now()
+	ended := v.stops.fault()
+	is.Equal(violations(time.Now()), 0)
+	ended()
+	is.Equal(violations(sentAt), 0)
+	is.Equal(violations(time.Now()), 1)
+	stopped()
+	is.Equal(violations(time.Now()), 0)
+	s.runs["r"] = 0
+	is.Equal(violations(sentAt), 0)
+}
