Drop load reports whose values are out of range; fuzz their decoder

A report with a negative or overflowing age counted as newer than all later ones, so that the load of a backend server was never corrected.

--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -69,7 +69,7 @@
 
 // applyLimitReport records what another VM knows of a limit. The caller holds s.mu.
 func (s *Servers) applyLimitReport(b *backend, limit *loadshare.Limit, now time.Duration) {
-	if limit == nil || limit.AgeMs < 0 || !(limit.Rate >= 0) || !limit.Named && b.notice == nil {
+	if limit == nil || !limit.Named && b.notice == nil {
 		return
 	}
 	at := now - time.Duration(limit.AgeMs)*time.Millisecond
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -473,7 +473,7 @@
 			s.applyLimitReport(b, r.Limit, now)
 		}
 		reportedAt := now - time.Duration(r.AgeMs)*time.Millisecond
-		if b == nil || r.InFlight < 0 || r.Slowness <= 0 || reportedAt <= b.reportAt {
+		if b == nil || reportedAt <= b.reportAt {
 			continue
 		}
 		b.applyLoad(Load{Running: r.InFlight, Slots: b.Slots, Slowness: float64(r.Slowness) / 100}, reportedAt)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,6 +33,11 @@
 	maxReports = 40
 	// maxDatagramBytes bounds a received message.
 	maxDatagramBytes = 8 << 10
+	// maxInFlight, maxSlowness (in percent) and maxAge bound the values of a report. The
+	// answer that names a limit may be old: a VM sends to such a backend server rarely.
+	maxInFlight = 1 << 20
+	maxSlowness = 1 << 20
+	maxAge      = time.Hour
 )
 
 // Report is the load report of one backend server.
@@ -96,8 +103,8 @@
 		if err != nil {
 			continue // the receiver of an earlier datagram was not listening
 		}
-		var reports []Report
-		if err := cbor.Unmarshal(buffer[:n], &reports); err != nil {
+		reports, err := decode(buffer[:n])
+		if err != nil {
 			e.Log.Debug("load reports cannot be decoded", logfield.Error(err))
 			continue
 		}
@@ -105,6 +112,24 @@
 	}
 }
 
+// decode returns the reports of a message, without those whose values are out of range: an age
+// below 0, for one, would make a report newer than all later ones.
+func decode(content []byte) ([]Report, error) {
+	var reports []Report
+	if err := cbor.Unmarshal(content, &reports); err != nil {
+		return nil, errors.Wrap(err, "decode load reports")
+	}
+	return slices.DeleteFunc(reports, func(r Report) bool { return !r.valid() }), nil
+}
+
+// valid reports whether all values are in range.
+func (r *Report) valid() bool {
+	return r.InFlight >= 0 && r.InFlight <= maxInFlight && r.Slowness > 0 && r.Slowness <= maxSlowness && validAge(r.AgeMs) &&
+		(r.Limit == nil || r.Limit.Rate >= 0 && !math.IsInf(r.Limit.Rate, 1) && validAge(r.Limit.AgeMs))
+}
+
+func validAge(ms int64) bool { return ms >= 0 && ms <= maxAge.Milliseconds() }
+
 // sendInterval returns the time between two messages to each of the given number of peers.
 func sendInterval(peers int) time.Duration {
 	return min(maxSendInterval, max(minSendInterval, time.Duration(peers)*time.Second/maxSendsPerSecond))
