End a limit only by a signed answer

A rejection or an error of a backend server in need may lack the limit that its other answers name; each VM took it for the end and sent freely until the next answer. Test: forward.TestRejectionKeepsLimit fails before.

--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -108,7 +108,7 @@
 		if m.clock.Time < r.ends {
 			return false
 		}
-		answer := ResponseHeaders{HasLoad: true, Load: Load{Slots: 40, Slowness: 1}}
+		answer := ResponseHeaders{Signed: true, HasLoad: true, Load: Load{Slots: 40, Slowness: 1}}
 		if r.b.ID == limitedServer && m.limit > 0 {
 			answer.Limit, answer.HasLimit = m.limit, true
 			if _, told := m.toldAt[r.vm]; !told {
@@ -304,7 +304,7 @@
 
 	state := other.byID[limitedServer]
 	other.endRequest(state, m.service, func(now time.Duration) {
-		other.applyNotices(state, &ResponseHeaders{}, now+time.Millisecond, now+time.Millisecond)
+		other.applyNotices(state, &ResponseHeaders{Signed: true}, now+time.Millisecond, now+time.Millisecond)
 		state.applyLoad(Load{Slots: 40, Slowness: 1}, now)
 	})
 	state.ownInFlight++
@@ -312,3 +312,17 @@
 	told.ApplyReports(other.CollectReports(100))
 	is.Equal(told.LimitedCount(), 1) // the answer may be older than the one with the limit
 }
+
+// A rejection without a limit must not end it: a backend server in need rejects requests, and
+// each VM would send freely until the next answer.
+func TestRejectionKeepsLimit(t *testing.T) {
+	is := is.New(t)
+	m := newNoticeModel()
+	m.targets("s")
+	m.answer("s1", ResponseHeaders{Signed: true, Limit: 4, HasLimit: true})
+	m.clock.Time += time.Second
+	m.answer("s1", ResponseHeaders{NotRun: true})
+	is.Equal(m.LimitedCount(), 1)
+	m.answer("s1", ResponseHeaders{Signed: true})
+	is.Equal(m.LimitedCount(), 0)
+}
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -20,8 +20,9 @@
 )
 
 // notice is what a process of a backend server has said of itself in its answers. It
-// answers two load patterns: a release, in which servers leave one after the other while
-// their catalogue entries lag, and a burst that a server asks its callers to pause.
+// answers three load patterns: a release, in which servers leave one after the other while
+// their catalogue entries lag, a burst that a server asks its callers to pause, and a server
+// in need that limits its requests.
 type notice struct {
 	// leavingSince is when the first answer of a leaving process arrived; 0 if none did.
 	leavingSince time.Duration
@@ -44,11 +45,13 @@
 	if answer.Pause > 0 {
 		b.notice.pausedUntil = max(b.notice.pausedUntil, now+answer.Pause)
 	}
-	at := now
-	if !answer.HasLimit {
-		at = sentAt
+	switch {
+	case answer.HasLimit:
+		s.applyLimit(b, true, answer.Limit, now, now)
+	case answer.Signed:
+		// A rejection or an error need not carry the limit.
+		s.applyLimit(b, false, 0, sentAt, now)
 	}
-	s.applyLimit(b, answer.HasLimit, answer.Limit, at, now)
 	if answer.Leaving && b.notice.leavingSince == 0 {
 		b.notice.leavingSince = now
 		if !b.keyed {
--- a/internal/router/collector_test.go
+++ b/internal/router/collector_test.go
@@ -25,16 +25,25 @@
 	return sharedlog.Position{}, nil
 }
 
+// newReporter returns a router whose reports go to the returned log, and the encoded report of
+// another VM, "child".
+func newReporter(t *testing.T) (r *Router, log *appendLog, report []byte) {
+	t.Helper()
+	is := is.New(t)
+	log = &appendLog{}
+	r, err := New(Options{VM: "relay", Domain: "d", Log: log, ReportTopic: "reports", Logger: zap.NewNop(), RevokeWithin: 5 * time.Second})
+	is.NoErr(err)
+	report, err = share.Encode(share.Report{Member: share.Member{VM: "child", Domain: "d"}, Number: 9})
+	is.NoErr(err)
+	return r, log, report
+}
+
 // TestRelayAppendsReportsOfOthers guards against VMs that are dropped from the members, and
 // lose their shares of rates, while their relay reads the shared log itself: their reports
 // stayed in its queue.
 func TestRelayAppendsReportsOfOthers(t *testing.T) {
 	is := is.New(t)
-	log := &appendLog{}
-	r, err := New(Options{VM: "relay", Domain: "d", Log: log, ReportTopic: "reports", Logger: zap.NewNop(), RevokeWithin: 5 * time.Second})
-	is.NoErr(err)
-	report, err := share.Encode(share.Report{Member: share.Member{VM: "child", Domain: "d"}, Number: 9})
-	is.NoErr(err)
+	r, log, report := newReporter(t)
 	r.collector.receive([][]byte{report, []byte("not a report")})
 	is.NoErr(r.collector.send(context.Background()))
 	is.Equal(log.calls, 1)
@@ -50,11 +59,7 @@
 // counted as sent, and so did those of the VMs that poll them.
 func TestReturnedReportsAreAppended(t *testing.T) {
 	is := is.New(t)
-	log := &appendLog{}
-	r, err := New(Options{VM: "vm", Domain: "d", Log: log, ReportTopic: "reports", Logger: zap.NewNop(), RevokeWithin: 5 * time.Second})
-	is.NoErr(err)
-	report, err := share.Encode(share.Report{Member: share.Member{VM: "child", Domain: "d"}, Number: 9})
-	is.NoErr(err)
+	r, log, report := newReporter(t)
 	r.collector.receive([][]byte{report})
 	reports := r.collector.takeDueReports()
 	is.Equal(len(reports), 2)
