Let backend servers of the soak leave and limit their requests by notice

Notices overlap with the other faults and have a random source of their own, so that the faults of known seeds stay.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,6 +22,11 @@
 	// restoreGapRange.
 	minRestoreGap   = 2 * time.Second
 	restoreGapRange = 6 * time.Second
+	// The time between two notices of backend servers is minNoticeGap plus a random part of
+	// noticeGapRange. Each lasts noticeDuration.
+	minNoticeGap   = time.Second
+	noticeGapRange = 4 * time.Second
+	noticeDuration = 3 * time.Second
 	// maxProxyDelay bounds the delay that a proxy in mode Delay adds to each read.
 	maxProxyDelay = 300 * time.Millisecond
 )
@@ -88,11 +93,7 @@
 		b := s.randomBackend()
 		b.crash()
 		id := fmt.Sprintf("%s-new%d", b.service, s.random.IntN(1<<30))
-		return func() {
-			if err := b.start(id); err != nil {
-				s.recordEvent("backend server could not be started: %v", err)
-			}
-		}
+		return func() { s.startBackend(b, id) }
 	}},
 	{"backend server rejects all requests", func(s *Soak, _ time.Duration) func() {
 		server := s.randomBackend().currentBackend()
@@ -125,6 +126,38 @@
 	}},
 }
 
+// startBackend starts a backend server under a new ID, and records a failure.
+func (s *Soak) startBackend(b *backend, id string) {
+	if err := b.start(id); err != nil {
+		s.recordEvent("backend server could not be started: %v", err)
+	}
+}
+
+// injectNotices makes backend servers say in their answers that they leave, or that they limit
+// their requests, until ctx ends. It has a random source of its own, so that the other faults of
+// a seed stay the same. A server that leaves is replaced after noticeDuration.
+func (s *Soak) injectNotices(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.options.Seed, 79))
+	for number := 0; clock.Sleep(ctx, minNoticeGap+time.Duration(random.Int64N(int64(noticeGapRange)))); number++ {
+		b := s.backends[random.IntN(len(s.backends))]
+		server := b.currentBackend()
+		if random.IntN(2) == 0 {
+			limit := 1 + 9*random.Float64()
+			s.recordEvent("%s limits its requests to %.1f per second", server.ID, limit)
+			server.SetLimit(limit)
+			clock.Sleep(ctx, noticeDuration)
+			server.SetLimit(0)
+			continue
+		}
+		s.recordEvent("%s says that it leaves", server.ID)
+		server.SetLeaving()
+		clock.Sleep(ctx, noticeDuration)
+		if b.crashIf(server) {
+			s.startBackend(b, fmt.Sprintf("%s-after-leaving%d", b.service, number))
+		}
+	}
+}
+
 // setEvacuated starts or ends the evacuation of the first failure domain.
 func (s *Soak) setEvacuated(evacuated bool) {
 	s.rewriting.Lock()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -202,9 +202,26 @@
 func (b *backend) crash() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.crashLocked()
+}
+
+// crashLocked is crash with the lock held.
+func (b *backend) crashLocked() {
 	if b.alive {
 		b.alive = false
 		b.running.Crash()
 		b.proxy.Close()
 	}
 }
+
+// crashIf ends the backend server if it is still the given one and alive, and reports whether
+// it was.
+func (b *backend) crashIf(server *platformtest.Backend) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.alive || b.running.Backend != server {
+		return false
+	}
+	b.crashLocked()
+	return true
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -120,9 +120,12 @@
 	go s.copyLog(clients)
 	restores, stopRestores := context.WithCancel(ctx)
 	defer stopRestores()
+	var notices sync.WaitGroup
+	notices.Go(func() { s.injectNotices(restores) })
 	go s.injectRestores(restores)
 	s.injectFaults(ctx)
 	stopRestores()
+	notices.Wait()
 	s.endFaults()
 	clock.Sleep(ctx, settleTime)
 	s.startFinalPhase()
