--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -400,16 +400,26 @@
 			}
 		}
 		now := f.Clock.Now()
-		delay := ownerRetryDelay
-		if reason == pickLimited {
-			delay = f.Servers.limitWaitOf(rs.event.Owner)
-		}
-		if now >= until || ctx.Err() != nil || reason == pickAllFull || reason == pickTooLate || reason == pickPaused || reason == pickLimited && now+delay > until {
+		delay, served := f.ownerDelay(reason, rs.event.Owner, until-now)
+		if !served || now >= until || ctx.Err() != nil {
 			rs.event.OwnerWait += now - started
 			return nil, f.rejectUnavailable(rs, "owner-"+string(reason), reason, rs.event.Owner)
 		}
-		wait(ctx, min(until-now, ownerRetryDelay, delay), tableChanged, viewChanged)
+		wait(ctx, min(until-now, delay), tableChanged, viewChanged)
+	}
+}
+
+// ownerDelay returns how long a request waits before it asks again for a permit for the owner of
+// its key, and false if it would not get one within the time that is left.
+func (f *Forwarder) ownerDelay(reason pickReason, owner string, left time.Duration) (time.Duration, bool) {
+	switch reason {
+	case pickAllFull, pickTooLate, pickPaused:
+		return 0, false
+	case pickLimited:
+		next := f.Servers.limitWaitOf(owner)
+		return min(next, ownerRetryDelay), next <= left
 	}
+	return ownerRetryDelay, true
 }
 
 // acquirePermit takes a permit for the owner of the request's key. If none is free now
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,8 +39,8 @@
 	// maxReportingAge is the age of a relay's records above which it takes no reports. Reports
 	// count for 5 s, so that the VMs can hand them to another relay in time.
 	maxReportingAge = 2500 * time.Millisecond
-	// maxReaderAge is the same as maxRelayAge for the VMs that the others of a failure domain fall back to.
-	// It is shorter, so that these have new records when the others need them.
+	// maxReaderAge is the same as maxRelayAge for the VMs that the others of a failure domain
+	// fall back to. It is shorter, so that these have new records when the others need them.
 	maxReaderAge = 1200 * time.Millisecond
 	// ownReadMargin is subtracted from Client.MaxStaleness for an own read of the shared log.
 	// Until then a VM keeps polling relays whose records are too old, since those it falls
