Wake all requests that wait for an owner when none is left to wake them

When an owner named a limit, or was full or cold, at the end of the last request that a VM had there, only the first waiting request was woken. The others waited for up to a third of their time and were rejected then, and new requests queued up behind them even when the owner took requests again.

--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -326,3 +326,32 @@
 	m.answer("s1", ResponseHeaders{Signed: true})
 	is.Equal(m.LimitedCount(), 0)
 }
+
+// Requests that wait for a permit must all be woken when their owner may get none for a while
+// and no request of this VM is left there: nothing else would wake them before their wait ends,
+// and new requests queued up behind them.
+func TestWaitersOfLimitedOwner(t *testing.T) {
+	is := is.New(t)
+	m := newOwnerModel(130) // one permit for this VM
+	_, b, _ := m.acquire(1, time.Second)
+	var waiting []*waiter
+	for range 3 {
+		w, _, reason := m.acquire(1, time.Second)
+		is.Equal(reason, pickQueued)
+		waiting = append(waiting, w)
+	}
+	m.endRequest(b, m.service, func(now time.Duration) {
+		m.applyNotices(b, &ResponseHeaders{Signed: true, Limit: 1, HasLimit: true}, now, now)
+	})
+	for _, w := range waiting {
+		select {
+		case <-w.ready:
+			is.True(!m.hasPermit(w))
+		default:
+			t.Error("a request is not woken")
+		}
+	}
+	m.clock.Time += m.limitWaitOf("b")
+	_, _, reason := m.acquire(1, time.Second)
+	is.Equal(reason, pickOK)
+}
--- a/internal/forward/queue.go
+++ b/internal/forward/queue.go
@@ -53,3 +53,10 @@
 func (q *queue) remove(w *waiter) {
 	*q = slices.DeleteFunc(*q, func(other *waiter) bool { return other == w })
 }
+
+// wakeAll removes all waiters without a permit.
+func (q *queue) wakeAll() {
+	for w := q.pop(); w != nil; w = q.pop() {
+		close(w.ready)
+	}
+}
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -119,9 +119,7 @@
 		listed, ok := view.Backends[id]
 		if !ok || listed.Address != known.Address || listed.Started != known.Started {
 			known.pool.Close()
-			for w := known.queue.pop(); w != nil; w = known.queue.pop() {
-				close(w.ready)
-			}
+			known.queue.wakeAll()
 			delete(s.byID, id)
 			changed = true
 		}
@@ -413,6 +411,9 @@
 		w.hasPermit = true
 	}
 	close(w.ready)
+	if b.ownInFlight == 0 {
+		b.queue.wakeAll() // no request is left whose end would wake them
+	}
 }
 
 // endRequest applies change to the state of the backend server under the lock and
