Log what the lease holder knows of the leases on a freed range

When two backend servers hold a key, the log has to show whether the range was freed while a lease could still run, and how long the predecessor had been silent at a takeover. No decision uses the new fields.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -98,6 +98,10 @@
 	// Target is the planned next owner of a moving or freed range; empty if there is none.
 	Target string
 	Reason string
+	// LeaseLeft is for how long a lease of the last owner may still run as far as this core
+	// knows; UncertainLeft is the part of it that a release does not end. Negative values are
+	// the time since then.
+	LeaseLeft, UncertainLeft time.Duration
 }
 
 // ChangeKind is the kind of a change of a range's owner.
@@ -336,14 +340,14 @@
 		switch {
 		case listed && server.Started != s.entry.Started:
 			// The process that held the keys has ended.
-			c.freeRange(s, "", 0, "owner restarted")
+			c.freeRange(s, "", 0, now, "owner restarted")
 		case !listed && newestStart[s.entry.Address] > s.entry.Started:
 			// A later process listens on the address, so the owner's process has ended.
-			c.freeRange(s, "", 0, "address in use by a later process")
+			c.freeRange(s, "", 0, now, "address in use by a later process")
 		case s.entry.Moving && now >= s.leasedUntil && !s.inFlight:
-			c.freeRange(s, "", 0, "lease ended")
+			c.freeRange(s, "", 0, now, "lease ended")
 		case !s.granted && now < c.avoidUntil[s.entry.Backend] && now >= s.leasedUntil && !s.inFlight:
-			c.freeRange(s, "", 0, "owner unreachable, lease ended")
+			c.freeRange(s, "", 0, now, "owner unreachable, lease ended")
 		case !listed && !s.entry.Moving:
 			c.startMove(s, "", now, "owner gone")
 		case !server.Usable && !s.entry.Moving:
@@ -354,8 +358,8 @@
 
 // freeRange removes the owner of a range. leasedUntil is the latest time at which a
 // lease on the range may end; handover is passed on to the next owner.
-func (c *Core) freeRange(s *rangeState, handover string, leasedUntil time.Duration, reason string) {
-	c.recordChange(s, ChangeFreed, reason)
+func (c *Core) freeRange(s *rangeState, handover string, leasedUntil, now time.Duration, reason string) {
+	c.recordChange(s, ChangeFreed, now, reason)
 	s.entry = keyrange.Entry{Range: s.entry.Range}
 	s.handover, s.leasedUntil, s.granted = handover, leasedUntil, false
 	c.bumpVersion(s)
@@ -366,16 +370,17 @@
 func (c *Core) startMove(s *rangeState, target string, now time.Duration, reason string) {
 	s.entry.Moving = true
 	s.target = target
-	c.recordChange(s, ChangeMoving, reason)
+	c.recordChange(s, ChangeMoving, now, reason)
 	s.nextCall = now
 	c.bumpVersion(s)
 }
 
 // recordChange adds a change to those that TakeChanges returns.
-func (c *Core) recordChange(s *rangeState, kind ChangeKind, reason string) {
+func (c *Core) recordChange(s *rangeState, kind ChangeKind, now time.Duration, reason string) {
 	c.changes = append(c.changes, Change{
 		Service: s.service, Range: s.entry.Range, Kind: kind, Backend: s.entry.Backend,
 		Fence: s.entry.Fence, Target: s.target, Reason: reason,
+		LeaseLeft: s.leasedUntil - now, UncertainLeft: s.uncertainUntil - now,
 	})
 }
 
@@ -409,22 +414,22 @@
 	}
 	for _, s := range unowned {
 		if server, ok := usable[s.target]; ok && s.target != "" {
-			c.setOwner(s, server)
+			c.setOwner(s, server, now)
 			continue
 		}
 		for _, move := range planner.Place([]keyrange.Range{s.entry.Range}) {
-			c.setOwner(c.split(service, s, move.Range), usable[move.To])
+			c.setOwner(c.split(service, s, move.Range), usable[move.To], now)
 		}
 	}
 }
 
 // setOwner assigns a range to a backend server under a new fencing token.
-func (c *Core) setOwner(s *rangeState, server Server) {
+func (c *Core) setOwner(s *rangeState, server Server, now time.Duration) {
 	c.fence++
 	s.entry.Backend, s.entry.Address, s.entry.Started = server.ID, server.Address, server.Started
 	s.entry.Fence, s.entry.Moving = c.fence, false
 	s.granted, s.target, s.nextCall = false, "", 0
-	c.recordChange(s, ChangeAssigned, "")
+	c.recordChange(s, ChangeAssigned, now, "")
 	c.bumpVersion(s)
 }
 
@@ -592,7 +597,7 @@
 	if errors.Is(err, ErrOtherInstance) {
 		// The owner's process has ended, and with it all its leases.
 		c.avoidUntil[s.entry.Backend] = now + avoidDuration
-		c.freeRange(s, "", 0, "owner restarted")
+		c.freeRange(s, "", 0, now, "owner restarted")
 		return
 	}
 	if call.Kind == CallRelease {
@@ -665,5 +670,5 @@
 		s.nextCall = now + callRetryInterval
 		return
 	}
-	c.freeRange(s, handover, s.uncertainUntil, "released")
+	c.freeRange(s, handover, s.uncertainUntil, now, "released")
 }
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -316,6 +316,9 @@
 		if change.Reason != "" {
 			fields = append(fields, zap.String("reason", change.Reason))
 		}
+		if change.Kind == ChangeFreed {
+			fields = append(fields, zap.Int64("lease_left_ms", change.LeaseLeft.Milliseconds()), zap.Int64("uncertain_left_ms", change.UncertainLeft.Milliseconds()))
+		}
 		l.Logger.Info("key range "+string(change.Kind), fields...)
 	}
 }
@@ -682,12 +685,14 @@
 // claim, which changes only the holder.
 func (l *Lessor) acquire(recorded *keyrange.Assignment, topicEnd sharedlog.Position, sentAt time.Duration, resigned bool) {
 	now := l.Clock.Now()
+	lastRecordAt, _ := l.Table.recordAndReadTimes()
 	if recorded == nil && !l.FirstStart {
 		recorded = &keyrange.Assignment{} // the record may be lost, in a restored log
 	}
 	l.lease = &leaseState{core: NewCore(l.Instance, recorded, topicEnd.Era, now, resigned), topicEnd: topicEnd, renewedAt: sentAt}
 	l.vacantSince = 0
-	l.Logger.Info("assignment lease acquired", zap.Int64("end", topicEnd.Offset), zap.Int64("era", topicEnd.Era), zap.Bool("resigned", resigned))
+	l.Logger.Info("assignment lease acquired", zap.Int64("end", topicEnd.Offset), zap.Int64("era", topicEnd.Era), zap.Bool("resigned", resigned),
+		zap.Int64("silent_ms", (now-lastRecordAt).Milliseconds()))
 	l.OnLeaseChange(true)
 }
 
