Add failing tests for key ranges that are given on too early

The model of the lease holder gave all lease holders the same, newest catalogue, let a restart show in it at once, and answered a release at once. Now each holder has a copy of some age, a predecessor that is cut off from the log keeps the copy that it had, restarts under the same ID show late, entries of an earlier process may arrive late, and requests may run on a released range.

--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -19,8 +19,13 @@
 	up      bool
 	listed  bool
 	usable  bool
-	// leases are the key range leases in force.
-	leases []heldLease
+	// listedStart is the start time in the catalogue entry. It is replaced at newEntryAt if it
+	// is not that of the running process.
+	listedStart int64
+	newEntryAt  time.Duration
+	// leases are the key range leases in force, and working the parts of released ones on which
+	// requests still run, until the requests or the lease end.
+	leases, working []heldLease
 	// seen is the highest fencing token seen for each part of the key space.
 	seen [keyrange.Parts]int64
 }
@@ -43,14 +48,18 @@
 	// nextNumber is the last number used for a server, an address or a start time.
 	nextNumber int
 	restores   bool // whether the shared log is restored from older copies
+	// scripted is set if the test injects all faults: no call is lost, and each record accepted.
+	scripted bool
 	// record is the newest state that the shared log has, era its era, and history the
 	// states that it accepted, the newest last.
 	record  *keyrange.Assignment
 	era     int64
 	history []acceptedRecord
-	core    *Core
-	// predecessors are cores that lost the lease; they run until it expires.
-	predecessors []predecessor
+	// catalogues are the contents of the catalogue over time, the newest last.
+	catalogues []catalogue
+	holder     *modelHolder
+	// predecessors have lost the lease; they run until it expires.
+	predecessors []*modelHolder
 	pending      []pendingCall
 	events       []string
 	fences       [keyrange.Parts]int64  // highest token with which a server held a part
@@ -67,12 +76,28 @@
 // maxCopyAge is the age of the oldest copy from which the shared log is restored.
 const maxCopyAge = 10 * time.Second
 
-// predecessor is a core that has lost the assignment lease.
-type predecessor struct {
-	core  *Core
-	until time.Duration
+// catalogue is what the catalogue contains from a time on.
+type catalogue struct {
+	from    time.Duration
+	servers []Server
+}
+
+// modelHolder is a VM that holds the assignment lease, or has held it until a while ago.
+type modelHolder struct {
+	core *Core
+	// lag is the age of its copy of the catalogue.
+	lag time.Duration
+	// cutAt is when it was cut off from the shared log, so that it writes and learns nothing
+	// more; 0 if it is not.
+	cutAt time.Duration
+	// renewedAt is when the log last accepted a record of it. It sends calls until
+	// AssignmentLeaseDuration later.
+	renewedAt time.Duration
 }
 
+// maxCatalogueLag bounds how long a change of the catalogue takes to reach a VM.
+const maxCatalogueLag = 2 * time.Second
+
 // pendingCall is a call in flight between a core and a modelServer.
 type pendingCall struct {
 	core       *Core
@@ -99,22 +124,44 @@
 	for range 5 {
 		m.addServer()
 	}
-	m.core = NewCore("vm-0", nil, 0, 0, true)
+	m.holder = &modelHolder{core: NewCore("vm-0", nil, 0, 0, true)}
 	return m
 }
 
 func (m *model) addServer() *modelServer {
 	m.nextNumber++
 	s := &modelServer{id: fmt.Sprintf("w%d", m.nextNumber), address: fmt.Sprintf("a%d", m.nextNumber), started: int64(m.nextNumber), up: true, listed: true, usable: true}
+	s.listedStart = s.started
 	m.servers = append(m.servers, s)
 	return s
 }
 
-func (m *model) input() Input {
-	in := Input{Servers: map[string][]Server{"keyed": nil}, Weight: func(string) *keyrange.Weight { return nil }}
+// updateCatalogue stores the present contents of the catalogue if they have changed.
+func (m *model) updateCatalogue() {
+	var servers []Server
 	for _, s := range m.servers {
+		if s.up && s.listedStart != s.started && m.now >= s.newEntryAt {
+			s.listed, s.listedStart = true, s.started
+		}
 		if s.listed {
-			in.Servers["keyed"] = append(in.Servers["keyed"], Server{ID: s.id, Address: s.address, Started: s.started, Usable: s.usable, Capacity: 4})
+			servers = append(servers, Server{ID: s.id, Address: s.address, Started: s.listedStart, Usable: s.usable, Capacity: 4})
+		}
+	}
+	if n := len(m.catalogues); n == 0 || !slices.Equal(m.catalogues[n-1].servers, servers) {
+		m.catalogues = append(m.catalogues, catalogue{m.now, servers})
+	}
+}
+
+// input returns the input of a VM, whose copy of the catalogue may be old.
+func (m *model) input(h *modelHolder) Input {
+	at := m.now - h.lag
+	if h.cutAt > 0 {
+		at = min(at, h.cutAt)
+	}
+	in := Input{Servers: map[string][]Server{"keyed": nil}}
+	for _, c := range m.catalogues {
+		if c.from <= at {
+			in.Servers["keyed"] = c.servers
 		}
 	}
 	// 40 busy parts, which are others every 7 s, so that ranges move.
@@ -139,25 +186,36 @@
 func (m *model) step() {
 	m.now += modelStep
 	m.injectFault()
+	m.advance()
+	m.check()
+}
+
+// advance does what is due at the present time.
+func (m *model) advance() {
+	m.updateCatalogue()
 	m.deliver()
 	m.expire()
-	for _, d := range m.predecessors {
-		if m.now < d.until {
-			m.run(d.core, false)
-		}
+	if h := m.holder; h.cutAt > 0 && m.now >= h.renewedAt+ClaimAfter {
+		m.changeHolder()
 	}
-	m.run(m.core, true)
-	m.check()
+	for _, h := range m.predecessors {
+		m.run(h)
+	}
+	m.run(m.holder)
 }
 
-// run steps a core. Only records of the current lease holder are accepted.
-func (m *model) run(core *Core, accepted bool) {
-	for _, call := range core.Step(m.now, m.input()) {
-		m.send(core, call)
+// run steps a VM that holds the assignment lease or has not noticed that it lost it.
+func (m *model) run(h *modelHolder) {
+	if m.now >= h.renewedAt+AssignmentLeaseDuration {
+		return
 	}
-	if accepted && m.random.Float64() < 0.8 {
-		m.record = core.State().Clone()
-		core.SetAccepted(core.Version())
+	for _, call := range h.core.Step(m.now, m.input(h)) {
+		m.send(h.core, call)
+	}
+	if h.cutAt == 0 && (m.scripted || m.random.Float64() < 0.8) {
+		h.renewedAt = m.now
+		m.record = h.core.State().Clone()
+		h.core.SetAccepted(h.core.Version())
 		m.history = append(m.history, acceptedRecord{m.record, m.now})
 	}
 }
@@ -168,7 +226,7 @@
 	if to != nil {
 		p.toStarted = to.started
 	}
-	if m.random.Float64() < 0.1 {
+	if !m.scripted && m.random.Float64() < 0.1 {
 		p.lost = true
 		p.answeredAt = m.now + 600*time.Millisecond
 		if m.random.Float64() < 0.7 {
@@ -224,6 +282,7 @@
 	}
 	g := p.call.Grant
 	if p.call.Kind == CallRelease {
+		p.delayAnswer(s.workUntil(g.Range, m.now, m.workTime()))
 		s.release(g.Range)
 		return nil
 	}
@@ -244,6 +303,46 @@
 	return nil
 }
 
+// workTime returns how long requests run on a range that is released now.
+func (m *model) workTime() time.Duration {
+	if m.scripted || m.random.IntN(5) > 0 {
+		return 0
+	}
+	return time.Duration(m.random.Int64N(int64(4 * time.Second)))
+}
+
+// workUntil notes that requests run on the held part of a range for some time, and returns
+// when the last request on the range ends.
+func (s *modelServer) workUntil(r keyrange.Range, now, workTime time.Duration) time.Duration {
+	until := now
+	if workTime > 0 {
+		for _, h := range s.leases {
+			if h.r.Last >= r.First && h.r.First <= r.Last {
+				held := keyrange.Range{First: max(r.First, h.r.First), Last: min(r.Last, h.r.Last)}
+				s.working = append(s.working, heldLease{held, h.fence, min(now+workTime, h.until)})
+			}
+		}
+	}
+	for _, w := range s.working {
+		if w.r.Last >= r.First && w.r.First <= r.Last {
+			until = max(until, w.until)
+		}
+	}
+	return until
+}
+
+// delayAnswer delays the answer to a release until the given time. The caller gives up after
+// releaseTimeout.
+func (p *pendingCall) delayAnswer(until time.Duration) {
+	if p.lost {
+		return
+	}
+	if timeout := p.arrivesAt + releaseTimeout; until > timeout {
+		until, p.lost = timeout, true
+	}
+	p.answeredAt = max(p.answeredAt, until)
+}
+
 // release removes a range from the server's leases.
 func (s *modelServer) release(r keyrange.Range) {
 	var kept []heldLease
@@ -264,32 +363,33 @@
 
 func (m *model) expire() {
 	for _, s := range m.servers {
-		s.leases = slices.DeleteFunc(s.leases, func(h heldLease) bool { return m.now >= h.until })
+		ended := func(h heldLease) bool { return m.now >= h.until }
+		s.leases, s.working = slices.DeleteFunc(s.leases, ended), slices.DeleteFunc(s.working, ended)
 	}
 }
 
 // injectFault crashes, restarts, drains, unlists or adds a server, or changes the lease
 // holder.
 func (m *model) injectFault() {
+	if m.scripted {
+		return
+	}
 	s := m.servers[m.random.IntN(len(m.servers))]
 	fault := m.random.IntN(400)
-	if fault < 7 {
+	if fault < 9 {
 		m.logf("fault %d at %s/%d", fault, s.id, s.started)
 	}
 	switch fault {
 	case 0: // crash; the catalogue entry expires later
-		s.up, s.leases = false, nil
-	case 1: // restart under the same ID
-		if other := m.serverAt(s.address); other != nil && other != s {
-			break // another process has the address
+		s.end()
+	case 1: // restart under the same ID; the new entry may come late
+		if other := m.serverAt(s.address); other == nil || other == s {
+			m.restart(s, time.Duration(m.random.Int64N(int64(4*time.Second))))
 		}
-		s.up, s.leases, s.seen = true, nil, [keyrange.Parts]int64{}
-		m.nextNumber++
-		s.started, s.listed = int64(m.nextNumber), true
 	case 2: // the catalogue entry expires, the server may still run
 		s.listed = false
 	case 3:
-		s.listed = s.up
+		s.listed = s.up && s.listedStart == s.started
 	case 4:
 		s.usable = !s.usable
 	case 5:
@@ -302,11 +402,36 @@
 			}
 		}
 	case 6:
-		m.changeHolder(false)
+		m.cutHolder()
 	case 7:
 		if m.restores {
 			m.restoreLog()
 		}
+	case 8: // an entry of the process before arrives late
+		if s.up && s.listed && s.listedStart == s.started && s.started > int64(len(m.servers)) {
+			s.listedStart, s.newEntryAt = s.started-1, m.now+time.Second
+		}
+	}
+}
+
+// end ends the process of a server.
+func (s *modelServer) end() { s.up, s.leases, s.working = false, nil, nil }
+
+// restart ends the process of a server, if it runs, and starts another one under the same ID
+// and address. The catalogue gets its entry after a delay.
+func (m *model) restart(s *modelServer, entryAfter time.Duration) {
+	s.end()
+	m.nextNumber++
+	s.up, s.seen, s.started = true, [keyrange.Parts]int64{}, int64(m.nextNumber)
+	s.newEntryAt = m.now + entryAfter
+}
+
+// cutHolder cuts the lease holder off from the shared log. Another VM takes over when the
+// holder has been silent for ClaimAfter.
+func (m *model) cutHolder() {
+	if m.holder.cutAt == 0 && m.record != nil {
+		m.logf("the lease holder is cut off from the log")
+		m.holder.cutAt = m.now
 	}
 }
 
@@ -321,22 +446,28 @@
 	m.record = m.history[len(m.history)-1].state
 	m.era++
 	m.logf("the log is restored to %s", m.history[len(m.history)-1].at)
-	if m.random.IntN(2) == 0 {
-		m.core.Restored(m.era)
+	if m.holder.cutAt == 0 && m.random.IntN(2) == 0 {
+		m.holder.core.Restored(m.era)
 		return
 	}
-	m.changeHolder(false)
+	m.changeHolder()
 }
 
-// changeHolder gives the assignment lease to a new core; the old core runs until its
-// own lease expires.
-func (m *model) changeHolder(resigned bool) {
+// changeHolder gives the assignment lease to another VM; the old one runs until its own
+// lease expires.
+func (m *model) changeHolder() {
 	m.logf("the lease holder changes")
 	if m.record == nil {
 		return
 	}
-	m.predecessors = append(m.predecessors, predecessor{m.core, m.now + AssignmentLeaseDuration})
-	m.core = NewCore("vm", m.record.Clone(), m.era, m.now, resigned)
+	if m.holder.cutAt == 0 {
+		m.holder.cutAt = m.now
+	}
+	m.predecessors = append(m.predecessors, m.holder)
+	m.holder = &modelHolder{
+		core: NewCore("vm", m.record.Clone(), m.era, m.now, false), renewedAt: m.now,
+		lag: time.Duration(m.random.Int64N(int64(maxCatalogueLag))),
+	}
 }
 
 // leaseSnapshot is a key range lease at the time of a check.
@@ -374,6 +505,9 @@
 				if holder[part] != "" {
 					m.t.Fatalf("at %s part %d is held by %s and %s\n%s", m.now, part, holder[part], s.id, m.lastEvents())
 				}
+				if worker := m.workerOn(part, s); worker != "" {
+					m.t.Fatalf("at %s part %d is held by %s while %s still works on it\n%s", m.now, part, s.id, worker, m.lastEvents())
+				}
 				holder[part] = s.id
 				if m.owners[part] != process && m.owners[part] != "" && h.fence <= m.fences[part] {
 					m.t.Fatalf("at %s part %d went to %s with token %d, although %s held it with token %d", m.now, part, process, h.fence, m.owners[part], m.fences[part])
@@ -384,8 +518,22 @@
 	}
 }
 
+// workerOn returns the ID of a server other than s that still works on requests for a part that
+// it has released; empty if there is none.
+func (m *model) workerOn(part int, s *modelServer) string {
+	for _, other := range m.servers {
+		for _, w := range other.working {
+			if other != s && w.r.First/keyrange.PartSize <= part && part <= w.r.Last/keyrange.PartSize {
+				return other.id
+			}
+		}
+	}
+	return ""
+}
+
 // TestExclusiveOwnership guards against two backend servers that hold a key at the same
-// time, under lost and delayed calls, crashes, restarts and changes of the lease holder.
+// time, or one that gets a key on which another still works, under lost and delayed calls,
+// slow requests, crashes, restarts, old copies of the catalogue and changes of the lease holder.
 func TestExclusiveOwnership(t *testing.T) {
 	for seed := range modelSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -429,9 +577,7 @@
 	}
 	for end := m.now + 15*time.Second; m.now < end; {
 		m.now += modelStep
-		m.deliver()
-		m.expire()
-		m.run(m.core, true)
+		m.advance()
 	}
 	held := 0
 	for _, s := range m.servers {
