Count leases that a predecessor may still renew before a released range is given on

Cause: a new holder of the assignment lease asks the owner of a moving range to release it, and gives the range on once the release is answered and uncertainUntil has passed. NewCore set uncertainUntil to the time at which the predecessor sends its last call, 3 s after the claim. A predecessor that is cut off from the log does not know that the range moves, and renews the released lease with the same token until then; the lease made by its last call ends up to 3.2 s later.

Now uncertainUntil is the end of the last lease that the predecessor can make.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -124,9 +124,9 @@
 	// leasedUntil is the latest time at which a key range lease of any backend server on
 	// the range may end.
 	leasedUntil time.Duration
-	// uncertainUntil is the latest time at which a lease made by an unanswered grant may
-	// end. After a release the range gets no new owner before then, since that grant may
-	// still take effect.
+	// uncertainUntil is the latest time at which a lease may end that was made by an
+	// unanswered grant, or by a predecessor that may still send calls. After a release the
+	// range gets no new owner before then, since such a grant may still take effect.
 	uncertainUntil time.Duration
 	nextCall       time.Duration
 	inFlight       bool
@@ -195,8 +195,10 @@
 	}
 	restored := recorded.Era < era
 	leasedUntil := now + AssignmentLeaseDuration + RangeLeaseDuration + holdMargin
+	uncertainUntil := leasedUntil // the predecessor may renew a lease that its owner has released
 	if resigned && !restored {
 		leasedUntil = now + RangeLeaseDuration + holdMargin
+		uncertainUntil = now
 		c.predecessorUntil = now
 	}
 	if era > 0 {
@@ -205,7 +207,7 @@
 	c.fence = max(c.fence, recorded.Fence)
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
-			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: c.predecessorUntil}
+			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: uncertainUntil}
 			if restored {
 				s.entry, s.target = keyrange.Entry{Range: entry.Range}, entry.Backend
 			}
