Do not take a catalogue entry for the end of the leases of a backend server

Cause: a range whose owner's entry had another start time was freed with no lease left, and given on at once. The process at the address may hold a lease all the same: a grant that is no renewal opens a new connection and reaches the new process before its entry does, and an old or foreign entry says nothing of the present process. The same conclusion was drawn from a later process at the address of an owner without an entry.

Now the range is released first: the process at the address ends its leases, or another one answers 421. That costs a call of some milliseconds. Without an answer the range waits until its lease has ended.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -279,12 +279,10 @@
 		}
 		servers = c.markAvoided(servers, now)
 		byID := make(map[string]Server, len(servers))
-		newestStart := make(map[string]int64, len(servers)) // start of the newest process by address
 		for _, server := range servers {
 			byID[server.ID] = server
-			newestStart[server.Address] = max(newestStart[server.Address], server.Started)
 		}
-		c.handleLostOwners(service, byID, newestStart, now)
+		c.handleLostOwners(service, byID, now)
 		c.assignFree(service, servers, in.Weight, now)
 		c.balance(service, servers, in.Weight, now)
 		c.merge(service, now)
@@ -331,28 +329,26 @@
 	return true
 }
 
-// handleLostOwners frees or starts to move the ranges of owners that are gone,
-// restarted, unreachable or leaving. It also frees moving ranges whose lease has ended.
-func (c *Core) handleLostOwners(service string, byID map[string]Server, newestStart map[string]int64, now time.Duration) {
+// handleLostOwners starts to move the ranges of owners that are gone, restarted or leaving, and
+// frees ranges whose lease has ended. The catalogue never frees a range: an entry may be older or
+// newer than the process at the address, which may hold a lease by a grant of this VM.
+func (c *Core) handleLostOwners(service string, byID map[string]Server, now time.Duration) {
 	for _, s := range c.ranges[service] {
 		if s.entry.Backend == "" {
 			continue
 		}
 		server, listed := byID[s.entry.Backend]
 		switch {
-		case listed && server.Started != s.entry.Started:
-			// The process that held the keys has ended.
-			c.freeRange(s, "", 0, now, "owner restarted")
-		case !listed && newestStart[s.entry.Address] > s.entry.Started:
-			// A later process listens on the address, so the owner's process has ended.
-			c.freeRange(s, "", 0, now, "address in use by a later process")
 		case s.entry.Moving && now >= s.leasedUntil && !s.inFlight:
 			c.freeRange(s, "", 0, now, "lease ended")
 		case !s.granted && now < c.avoidUntil[s.entry.Backend] && now >= s.leasedUntil && !s.inFlight:
 			c.freeRange(s, "", 0, now, "owner unreachable, lease ended")
-		case !listed && !s.entry.Moving:
+		case s.entry.Moving:
+		case !listed:
 			c.startMove(s, "", now, "owner gone")
-		case !server.Usable && !s.entry.Moving:
+		case server.Started != s.entry.Started:
+			c.startMove(s, "", now, "owner restarted")
+		case !server.Usable:
 			c.startMove(s, "", now, "owner leaves")
 		}
 	}
