Decide before a claim whether the last lease holder had resigned

Cause: a VM without paths to the backend servers gives the assignment lease up with the statement that its calls are unconfirmed. The claim of the next VM does not repeat the statement. If the VM reads its own claim from the log before the answer to its append arrives, finishClaim saw a lease that was vacant and not unconfirmed, took it for resigned, and neither waited for leases by calls in flight nor counted those without an answer.

Evidence: TestOwnClaimOfAbandonedLease failed before and passes. The claim now carries what was known when it was made.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -157,7 +157,8 @@
 type appendResult struct {
 	lease               *leaseState
 	version             int64
-	claim, reclaim      bool
+	claim, resigned     bool
+	reclaim             bool
 	sentAt              time.Duration
 	records             []sharedlog.Record
 	expectedEnd, newEnd sharedlog.Position
@@ -652,6 +653,7 @@
 // topic ends at expectedEnd. If the shared log was restored from an older copy, the owners
 // that this VM knows may not be the newest ones, so the record has none.
 func (l *Lessor) claim(ctx context.Context, current *keyrange.Assignment, expectedEnd sharedlog.Position, now time.Duration) {
+	resigned := current == nil || current.Holder == "" && !current.Unconfirmed
 	state := &keyrange.Assignment{}
 	if current != nil {
 		state = current.Clone()
@@ -666,7 +668,7 @@
 		return
 	}
 	l.claiming = true
-	l.append(ctx, nil, []sharedlog.Record{record}, expectedEnd, appendResult{claim: true, sentAt: now})
+	l.append(ctx, nil, []sharedlog.Record{record}, expectedEnd, appendResult{claim: true, resigned: resigned, sentAt: now})
 }
 
 // finishClaim acquires the lease if the claim was accepted.
@@ -676,8 +678,7 @@
 		l.Logger.Info("claim of the assignment lease failed", logfield.Error(a.err))
 		return
 	}
-	current := l.Table.Current()
-	l.acquire(current, a.newEnd, a.sentAt, l.vacantSince != 0 && (current == nil || !current.Unconfirmed))
+	l.acquire(l.Table.Current(), a.newEnd, a.sentAt, a.resigned)
 	l.applyAppended(a)
 }
 
