Use new fencing tokens after each change of the lease holder

Cause: a new lease holder sent the recorded grants again as they were, over new connections. The process at the address may have started since; only the holder of the connection over which a range was granted knows that it has not.

The claim records the state of the core that the new holder starts with, so that the new tokens cost no further append. A VM whose claim took effect although the append had failed claims again instead of building that state from its record.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -174,11 +174,14 @@
 // shared log.
 func firstFence(era int64) int64 { return era * eraFences }
 
-// NewCore returns the core of an instance that has just acquired the assignment lease in
-// the given era of the shared log. recorded is the assignment before the claim, or nil if
-// there is none. If resigned is set, the predecessor had ended all its calls before it
-// gave up the lease. A recorded assignment of an earlier era may lack the newest grants:
-// its owners only hint at where the ranges were.
+// NewCore returns the core of an instance that claims the assignment lease in the given era
+// of the shared log; its State is what the claim records. recorded is the assignment before
+// the claim, or nil if there is none. If resigned is set, the predecessor had ended all its
+// calls before it gave up the lease. A recorded assignment of an earlier era may lack the
+// newest grants: its owners only hint at where the ranges were.
+//
+// Each range gets a new fencing token: the process at an owner's address may have started
+// after the recorded grant, and must not get the range with the token of an earlier process.
 func NewCore(instance string, recorded *keyrange.Assignment, era int64, now time.Duration, resigned bool) *Core {
 	c := &Core{
 		instance: instance, era: era, fence: firstFence(era),
@@ -208,8 +211,12 @@
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
 			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: uncertainUntil}
-			if restored {
+			switch {
+			case restored:
 				s.entry, s.target = keyrange.Entry{Range: entry.Range}, entry.Backend
+			case entry.Backend != "":
+				c.fence++
+				s.entry.Fence = c.fence
 			}
 			c.ranges[service] = append(c.ranges[service], s)
 		}
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -464,8 +464,11 @@
 		m.holder.cutAt = m.now
 	}
 	m.predecessors = append(m.predecessors, m.holder)
+	core := NewCore("vm", m.record.Clone(), m.era, m.now, false)
+	m.record = core.State().Clone()
+	m.history = append(m.history, acceptedRecord{m.record, m.now})
 	m.holder = &modelHolder{
-		core: NewCore("vm", m.record.Clone(), m.era, m.now, false), renewedAt: m.now,
+		core: core, renewedAt: m.now,
 		lag: time.Duration(m.random.Int64N(int64(maxCatalogueLag))),
 	}
 }
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -157,7 +157,7 @@
 type appendResult struct {
 	lease               *leaseState
 	version             int64
-	claim, resigned     bool
+	claimed             *Core
 	reclaim             bool
 	sentAt              time.Duration
 	records             []sharedlog.Record
@@ -550,7 +550,7 @@
 
 // finishAppend processes the result of an append.
 func (l *Lessor) finishAppend(a appendResult) {
-	if a.claim {
+	if a.claimed != nil {
 		l.finishClaim(a)
 		return
 	}
@@ -610,9 +610,7 @@
 		return // the table does not include the claim of the other VM yet
 	}
 	if current != nil && current.Holder == l.Instance && current.Era == next.Era {
-		// A claim of this VM took effect although its append had failed.
-		l.acquire(current, next, now, false)
-		return
+		free = true // a claim of this VM took effect although its append had failed
 	}
 	if free {
 		l.claim(ctx, current, next, now)
@@ -654,21 +652,21 @@
 // that this VM knows may not be the newest ones, so the record has none.
 func (l *Lessor) claim(ctx context.Context, current *keyrange.Assignment, expectedEnd sharedlog.Position, now time.Duration) {
 	resigned := current == nil || current.Holder == "" && !current.Unconfirmed
-	state := &keyrange.Assignment{}
-	if current != nil {
-		state = current.Clone()
-		if current.Era < expectedEnd.Era {
-			state = current.Unowned()
-			state.Fence = max(state.Fence, firstFence(expectedEnd.Era))
-		}
+	if current == nil && !l.FirstStart {
+		current = &keyrange.Assignment{} // the record may be lost, in a restored log
 	}
-	state.Holder, state.Address, state.Era, state.Unconfirmed = l.Instance, l.Address, expectedEnd.Era, false
+	core := NewCore(l.Instance, current, expectedEnd.Era, now, resigned)
+	state := core.State()
+	state.Address = l.Address
 	record, ok := l.assignmentRecord("claim", state)
 	if !ok {
 		return
 	}
+	lastRecordAt, _ := l.Table.recordAndReadTimes()
+	l.Logger.Info("claiming the assignment lease", zap.Int64("end", expectedEnd.Offset), zap.Bool("resigned", resigned),
+		zap.Int64("silent_ms", (now-lastRecordAt).Milliseconds()))
 	l.claiming = true
-	l.append(ctx, nil, []sharedlog.Record{record}, expectedEnd, appendResult{claim: true, resigned: resigned, sentAt: now})
+	l.append(ctx, nil, []sharedlog.Record{record}, expectedEnd, appendResult{claimed: core, sentAt: now})
 }
 
 // finishClaim acquires the lease if the claim was accepted.
@@ -678,23 +676,11 @@
 		l.Logger.Info("claim of the assignment lease failed", logfield.Error(a.err))
 		return
 	}
-	l.acquire(l.Table.Current(), a.newEnd, a.sentAt, a.resigned)
-	l.applyAppended(a)
-}
-
-// acquire makes this VM the lease holder. The recorded state is the one before the
-// claim, which changes only the holder.
-func (l *Lessor) acquire(recorded *keyrange.Assignment, topicEnd sharedlog.Position, sentAt time.Duration, resigned bool) {
-	now := l.Clock.Now()
-	lastRecordAt, _ := l.Table.recordAndReadTimes()
-	if recorded == nil && !l.FirstStart {
-		recorded = &keyrange.Assignment{} // the record may be lost, in a restored log
-	}
-	l.lease = &leaseState{core: NewCore(l.Instance, recorded, topicEnd.Era, now, resigned), topicEnd: topicEnd, renewedAt: sentAt}
+	l.lease = &leaseState{core: a.claimed, topicEnd: a.newEnd, renewedAt: a.sentAt}
 	l.vacantSince = 0
-	l.Logger.Info("assignment lease acquired", zap.Int64("end", topicEnd.Offset), zap.Int64("era", topicEnd.Era), zap.Bool("resigned", resigned),
-		zap.Int64("silent_ms", (now-lastRecordAt).Milliseconds()))
+	l.Logger.Info("assignment lease acquired", zap.Int64("end", a.newEnd.Offset), zap.Int64("era", a.newEnd.Era))
 	l.OnLeaseChange(true)
+	l.applyAppended(a)
 }
 
 // lose makes this VM give up the lease and resume the reads of the topic.
