Give ranges of leaving owners on at once after a takeover or an unanswered grant

Keys of owners that left while the lease holder was cut off from the log, or after a grant without an answer, had no owner for up to 4.2 s: a released range waited until the leases by uncertain grants had ended.

A backend server rejects a grant once it has accepted a higher token on one of its keys. So before the release the owner is granted the range once more under a new token; after a takeover the token of the claim serves. From its answer on, no earlier grant, by whichever lease holder, can take effect there, and the release is final. One such grant is sent for each move; if it fails, the range waits as before.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -128,12 +128,20 @@
 	// unanswered grant, or by a predecessor that may still send calls. After a release the
 	// range gets no new owner before then, since such a grant may still take effect.
 	uncertainUntil time.Duration
-	nextCall       time.Duration
-	inFlight       bool
-	granted        bool   // the owner accepted a grant; further ones are renewals
-	handover       string // returned by the last owner's release, for the next owner
-	target         string // planned next owner
-	replaced       bool   // by a split or a merge
+	// uncertainBackend is the backend server that those grants were sent to, empty if there are
+	// several, and uncertainFence their highest token. Once that backend server has accepted a
+	// higher token it rejects them.
+	uncertainBackend string
+	uncertainFence   int64
+	// confirmSent is set once a moving range was granted to its owner with a token above
+	// uncertainFence.
+	confirmSent bool
+	nextCall    time.Duration
+	inFlight    bool
+	granted     bool   // the owner accepted a grant; further ones are renewals
+	handover    string // returned by the last owner's release, for the next owner
+	target      string // planned next owner
+	replaced    bool   // by a split or a merge
 }
 
 // Core decides on grants, releases and moves of key ranges. It does no I/O; the caller
@@ -210,7 +218,10 @@
 	c.fence = max(c.fence, recorded.Fence)
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
-			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: uncertainUntil}
+			s := &rangeState{
+				service: service, entry: entry, leasedUntil: leasedUntil,
+				uncertainUntil: uncertainUntil, uncertainBackend: entry.Backend, uncertainFence: recorded.Fence,
+			}
 			switch {
 			case restored:
 				s.entry, s.target = keyrange.Entry{Range: entry.Range}, entry.Backend
@@ -293,7 +304,7 @@
 		c.assignFree(service, servers, in.Weight, now)
 		c.balance(service, servers, in.Weight, now)
 		c.merge(service, now)
-		calls = append(calls, c.dueCalls(service, byID, now)...)
+		calls = append(calls, c.dueCalls(service, now)...)
 	}
 	return calls
 }
@@ -373,7 +384,7 @@
 // startMove marks a range as moving, so that its owner is asked to release it. target
 // is the planned next owner, if any.
 func (c *Core) startMove(s *rangeState, target string, now time.Duration, reason string) {
-	s.entry.Moving = true
+	s.entry.Moving, s.confirmSent = true, false
 	s.target = target
 	c.recordChange(s, ChangeMoving, now, reason)
 	s.nextCall = now
@@ -537,7 +548,9 @@
 		joined := *left
 		joined.entry.Range.Last = right.entry.Range.Last
 		joined.leasedUntil = max(left.leasedUntil, right.leasedUntil)
-		joined.uncertainUntil = max(left.uncertainUntil, right.uncertainUntil)
+		if now < right.uncertainUntil {
+			joined.addUncertain(right.uncertainBackend, right.uncertainFence, right.uncertainUntil, now)
+		}
 		c.fence++
 		joined.entry.Fence = c.fence
 		joined.nextCall = 0
@@ -566,28 +579,46 @@
 }
 
 // dueCalls returns the calls that are due now and marks them as in flight.
-func (c *Core) dueCalls(service string, byID map[string]Server, now time.Duration) []Call {
+func (c *Core) dueCalls(service string, now time.Duration) []Call {
 	var calls []Call
 	for _, s := range c.ranges[service] {
 		if s.entry.Backend == "" || s.inFlight || now < s.nextCall || s.version > c.accepted {
 			continue
 		}
-		call := Call{Service: service, state: s,
-			Target: Target{Backend: s.entry.Backend, Address: s.entry.Address, Started: s.entry.Started},
-			Grant:  Grant{Range: s.entry.Range, Fence: s.entry.Fence}}
-		if s.entry.Moving {
-			call.Kind = CallRelease
-		} else {
-			call.Grant.Hold = RangeLeaseDuration
-			call.Grant.Handover = s.handover
-			call.Grant.Renewal = s.granted
+		confirm := s.entry.Moving && s.confirmable(now)
+		if confirm && s.entry.Fence <= s.uncertainFence {
+			c.assignNewFence(s) // and grant the range once the token is recorded
+			continue
 		}
+		s.confirmSent = s.confirmSent || confirm
 		s.inFlight = true
-		calls = append(calls, call)
+		calls = append(calls, s.call(s.entry.Moving && !confirm))
 	}
 	return calls
 }
 
+// call returns the grant or release of a range for its owner.
+func (s *rangeState) call(release bool) Call {
+	call := Call{Service: s.service, state: s,
+		Target: Target{Backend: s.entry.Backend, Address: s.entry.Address, Started: s.entry.Started},
+		Grant:  Grant{Range: s.entry.Range, Fence: s.entry.Fence}}
+	if release {
+		call.Kind = CallRelease
+		return call
+	}
+	call.Grant.Hold = RangeLeaseDuration
+	call.Grant.Handover = s.handover
+	call.Grant.Renewal = s.granted
+	return call
+}
+
+// confirmable reports whether the owner of a moving range should be granted the range once more
+// before it is asked for the release: a release ends the leases of uncertain grants for good only
+// if the owner has accepted a higher token.
+func (s *rangeState) confirmable(now time.Duration) bool {
+	return !s.confirmSent && now < s.uncertainUntil && s.uncertainBackend == s.entry.Backend
+}
+
 // HandleResult processes the result of a call that Step returned: err as the Granter
 // returned it, and the handover token of a successful release.
 func (c *Core) HandleResult(call Call, handover string, err error, now time.Duration) {
@@ -596,6 +627,9 @@
 	if call.Kind == CallGrant && !notApplied(err) {
 		c.extendLease(call, err, now)
 	}
+	if call.Kind == CallGrant && err == nil {
+		s.confirm(call, now)
+	}
 	if s.replaced || s.entry.Fence != call.Grant.Fence || s.entry.Backend != call.Target.Backend {
 		return
 	}
@@ -629,11 +663,31 @@
 		}
 		s.leasedUntil = max(s.leasedUntil, until)
 		if err != nil {
-			s.uncertainUntil = max(s.uncertainUntil, until)
+			s.addUncertain(call.Target.Backend, call.Grant.Fence, until, now)
 		}
 	}
 }
 
+// confirm notes that a backend server has accepted a grant, so that it rejects those with lower
+// tokens from now on.
+func (s *rangeState) confirm(call Call, now time.Duration) {
+	if call.Target.Backend == s.uncertainBackend && call.Grant.Fence > s.uncertainFence {
+		s.uncertainUntil = min(s.uncertainUntil, now)
+	}
+}
+
+// addUncertain notes that a grant without an answer, with the given token, may make a lease of
+// the backend server that ends at until.
+func (s *rangeState) addUncertain(backend string, fence int64, until, now time.Duration) {
+	if now >= s.uncertainUntil {
+		s.uncertainBackend, s.uncertainFence = backend, 0
+	} else if s.uncertainBackend != backend {
+		s.uncertainBackend = ""
+	}
+	s.uncertainUntil = max(s.uncertainUntil, until)
+	s.uncertainFence = max(s.uncertainFence, fence)
+}
+
 // finishGrant updates a range after a grant call and schedules the next call.
 func (c *Core) finishGrant(s *rangeState, err error, now time.Duration) {
 	switch {
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -50,6 +50,8 @@
 	restores   bool // whether the shared log is restored from older copies
 	// scripted is set if the test injects all faults: no call is lost, and each record accepted.
 	scripted bool
+	// loseAnswers makes scripted grants fail although they take effect.
+	loseAnswers bool
 	// record is the newest state that the shared log has, era its era, and history the
 	// states that it accepted, the newest last.
 	record  *keyrange.Assignment
@@ -233,6 +235,10 @@
 			p.appliesAt = m.now + time.Duration(m.random.Int64N(int64(8*time.Second)))
 		}
 	}
+	if m.loseAnswers {
+		p.lost = true
+		p.answeredAt = m.now + grantTimeout
+	}
 	m.pending = append(m.pending, p)
 }
 
@@ -582,13 +588,18 @@
 		m.now += modelStep
 		m.advance()
 	}
+	if held := m.heldKeys(); held < (keyrange.MaxKey+1)*9/10 {
+		t.Fatalf("%d of %d keys have an owner 15 s after the last fault", held, keyrange.MaxKey+1)
+	}
+}
+
+// heldKeys returns the number of keys that servers hold.
+func (m *model) heldKeys() int {
 	held := 0
 	for _, s := range m.servers {
 		for _, h := range s.leases {
 			held += h.r.Size()
 		}
 	}
-	if held < (keyrange.MaxKey+1)*9/10 {
-		t.Fatalf("%d of %d keys have an owner 15 s after the last fault", held, keyrange.MaxKey+1)
-	}
+	return held
 }
--- a/internal/keylease/takeover_test.go
+++ b/internal/keylease/takeover_test.go
@@ -108,3 +108,37 @@
 	l.finishClaim(result)
 	is.True(l.lease.core.HasUncertainGrants(fake.Now() + grantTimeout))
 }
+
+// TestKeysOfLeavingOwnerAtTakeover guards against keys without an owner for seconds, because the
+// owner leaves while the lease holder is cut off from the log, or after a grant without an answer.
+func TestKeysOfLeavingOwnerAtTakeover(t *testing.T) {
+	const limit = 500 * time.Millisecond // of the release, the new grant and their records
+	for name, before := range map[string]func(m *model){
+		"takeover": func(m *model) {
+			m.cutHolder()
+			m.runFor(ClaimAfter)
+		},
+		"unanswered grants": func(m *model) {
+			m.loseAnswers = true
+			m.runFor(RenewInterval + grantTimeout)
+			m.loseAnswers = false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newScriptedModel(t)
+			before(m)
+			m.servers[0].usable = false
+			m.runFor(m.holder.lag)
+			var without time.Duration
+			for end := m.now + 8*time.Second; m.now < end; {
+				m.step()
+				if m.heldKeys() <= keyrange.MaxKey {
+					without += modelStep
+				}
+			}
+			if len(m.servers[0].leases) > 0 || without > limit {
+				t.Errorf("keys were without an owner for %s, %s are allowed; the leaving server holds %d ranges", without, limit, len(m.servers[0].leases))
+			}
+		})
+	}
+}
