Take no response without an ID for that of a request on a kept connection

Cause: a response without a request ID counted as that of the current request. If a backend server writes an earlier refusal without an ID once more on a kept connection, the request that runs there is answered 503 or sent to another backend server.

Now a response without an ID is accepted on a new connection only, where no earlier one can be late, and the connection is closed after it. On a kept connection the outcome is unknown.

forward.TestExtraRefusal failed before: without_ID: request 2: status 503 "no-backend\n" informational: request 2: status 503 "no-backend\n" and passes now. Its rows with the ID of an earlier request passed before: they are skipped, or end the connection with an unknown outcome.

--- /dev/null
+++ b/internal/forward/extra_test.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+)
+
+const notRunHead = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+
+// respondBehind runs the request and sends a signed response behind the given bytes.
+func respondBehind(t *testing.T, w http.ResponseWriter, r *http.Request, extra string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\nContent-Length: 3\r\n\r\nran", extra, r.Header.Get("X-Id")) //nolint:errcheck // the test sees the answer
+}
+
+// TestExtraRefusal guards against a caller who is told "not run" about a request that ran, and
+// against a second run of it, because the backend server wrote an earlier refusal once more on
+// a kept connection.
+func TestExtraRefusal(t *testing.T) {
+	for name, extra := range map[string]string{
+		"previous ID":      notRunHead + "X-Id: 1\r\n\r\n",
+		"previous ID, two": notRunHead + "X-Id: 1\r\n\r\n" + notRunHead + "X-Id: 1\r\n\r\n",
+		"older ID":         notRunHead + "X-Id: 0\r\n\r\n",
+		"without ID":       notRunHead + "\r\n",
+		"informational":    "HTTP/1.1 103 Early Hints\r\nX-Not-Run: 1\r\n\r\n" + notRunHead + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Id") == "1" {
+					respondSigned(w, r)
+					return
+				}
+				runs.Add(1)
+				respondBehind(t, w, r, extra)
+			}
+			s := newTestForwarder(t, false, serve)
+			for _, id := range []string{"1", "2"} {
+				answer := s.request(context.Background(), id)
+				if answer.Status != http.StatusOK && answer.Status != http.StatusBadGateway {
+					t.Errorf("request %s: status %d %q", id, answer.Status, answer.Body)
+				}
+				answer.Done()
+			}
+			if n := runs.Load(); n != 1 {
+				t.Errorf("request 2 ran %d times", n)
+			}
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -184,9 +184,11 @@
 			return nil, OutcomeUnknown, false, errors.Wrap(err, "response")
 		}
 		id := responder.ResponseID(response.Header)
-		if id == r.ID || id == "" {
+		// A response without an ID is certain to be this request's only on a new connection. The
+		// connection is closed then, since later ones could not be told apart.
+		if id == r.ID || id == "" && c.requests == 0 {
 			c.lastID = r.ID
-			return response, OutcomeAnswered, keep, nil
+			return response, OutcomeAnswered, keep && id != "", nil
 		}
 		response.Release()
 		if id != c.lastID || !keep {
