Send a request at most once on each connection

Cause: the owner of a key may get a request again after it has refused it, on the same kept connection and with the same request ID. If the backend server writes the first refusal once more there, its ID matches.

Now a request avoids the connections that carried it before; a pool takes another idle one for it or opens a new one. Connections have an ID for that.

forward.TestRefusalOfEarlierAttempt failed before ("ran 2 times") and passes now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -251,7 +251,7 @@
 	r.event.InFlight, r.event.ReportAge = f.Servers.estimate(b)
 	request := &upstream.Request{
 		ID: rs.call.ID, Method: rs.request.Method, Target: rs.request.Target, Host: rs.request.Host,
-		Header: header, Body: rs.request.Body, HasBody: rs.request.HasBody,
+		Header: header, Body: rs.request.Body, HasBody: rs.request.HasBody, Avoid: rs.conns,
 		Allowed: func() bool { return f.Servers.mayReceive(f.Directory.View(), b) && f.quarantined(rs) == 0 },
 	}
 	f.Reach.Sent(b.process.Backend, now)
@@ -270,6 +270,7 @@
 // may be made.
 func (f *Forwarder) handleResult(ctx context.Context, rs *requestState, r *sendResult) (*Answer, bool) {
 	b, result, event := r.b, r.result, &r.event
+	rs.conns = append(rs.conns, result.Conn)
 	switch result.Outcome {
 	case upstream.OutcomeNotSent:
 		event.Detail = "not sent: " + result.Err.Error()
--- a/internal/forward/extra_test.go
+++ b/internal/forward/extra_test.go
@@ -56,3 +56,36 @@
 		})
 	}
 }
+
+// TestRefusalOfEarlierAttempt guards against a request that runs at the owner of its key and is
+// answered with the refusal of its first attempt, which the backend server wrote once more: that
+// has the same ID.
+func TestRefusalOfEarlierAttempt(t *testing.T) {
+	var runs atomic.Int64
+	refused := ""
+	s := newTestForwarder(t, false, func(w http.ResponseWriter, r *http.Request) {
+		refusal := notRunHead + "X-Not-Owner: 1\r\nX-Id: 1\r\n\r\n"
+		switch refused {
+		case "":
+			refused = r.RemoteAddr
+			w.Header().Set("X-Id", "1")
+			w.Header().Set("X-Not-Owner", "1")
+			respondNotRun(w, r)
+		case r.RemoteAddr:
+			runs.Add(1)
+			respondBehind(t, w, r, refusal)
+		default:
+			runs.Add(1)
+			respondSigned(w, r)
+		}
+	})
+	s.assignAllKeys(t)
+	answer := s.keyedRequest("1")
+	if answer.Status != http.StatusOK {
+		t.Errorf("status %d %q", answer.Status, answer.Body)
+	}
+	answer.Done()
+	if n := runs.Load(); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -127,6 +127,8 @@
 	// sends is the number of sends to backend servers, and runs the number of those
 	// that may have run.
 	sends, runs int
+	// conns are the connections on which it was sent.
+	conns []upstream.ConnID
 	// ownerRetryDelay is the longest delay before the next attempt after an owner
 	// rejected the key.
 	ownerRetryDelay time.Duration
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,9 @@
 	// Allowed is called when a connection is ready, before anything is sent. If it returns
 	// false, the request is not sent and its result has ErrNotAllowed. Nil allows it.
 	Allowed func() bool
+	// Avoid lists the connections that carried the request before. It is not sent there again: a
+	// late second response to the earlier attempt has the same ID as the one that is expected.
+	Avoid []ConnID
 }
 
 // Response is a complete response of a backend server. Release must be called once when
@@ -98,8 +102,15 @@
 	ResponseID(h http.Header) string
 }
 
+// ConnID identifies a connection among all of the process.
+type ConnID uint64
+
+// lastConnID is the ID of the newest connection.
+var lastConnID atomic.Uint64
+
 // conn is one connection to a backend server.
 type conn struct {
+	id          ConnID
 	net         net.Conn
 	memory      *membudget.Budget
 	limit       *readlimit.Reader // bounds what reader reads from net
@@ -113,7 +124,7 @@
 // newConn returns a connection without exchanges.
 func newConn(connection net.Conn, memory *membudget.Budget) *conn {
 	limit := &readlimit.Reader{Source: connection}
-	return &conn{net: connection, memory: memory, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
+	return &conn{id: ConnID(lastConnID.Add(1)), net: connection, memory: memory, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
 }
 
 // usable reports whether an idle connection has received nothing. Bytes would belong to
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +82,8 @@
 	Response *Response
 	Outcome  Outcome
 	Err      error
+	// Conn is the connection on which the request was sent; 0 if there is none.
+	Conn ConnID
 	// Reused is set if the request was sent on a kept connection; Idle is how long that
 	// connection was idle before.
 	Reused bool
@@ -92,7 +95,7 @@
 // Do sends a request and returns its result. If ctx ends first, Do returns and closes
 // the connection.
 func (p *Pool) Do(ctx context.Context, r *Request) Result {
-	c, err := p.take(ctx)
+	c, err := p.take(ctx, r.Avoid)
 	if err != nil {
 		return Result{Outcome: OutcomeNotSent, Err: err, NotConnected: true}
 	}
@@ -100,7 +103,7 @@
 		p.put(c, c.requests > 0)
 		return Result{Outcome: OutcomeNotSent, Err: ErrNotAllowed}
 	}
-	result := Result{Reused: c.requests > 0, Idle: p.clock.Now() - c.idleSince}
+	result := Result{Conn: c.id, Reused: c.requests > 0, Idle: p.clock.Now() - c.idleSince}
 	if !result.Reused {
 		result.Idle = 0
 	}
@@ -118,10 +121,11 @@
 	return result
 }
 
-// take returns the most recently used idle connection that is usable, or a new one.
-func (p *Pool) take(ctx context.Context) (*conn, error) {
+// take returns the most recently used idle connection that is usable and not to be avoided, or a
+// new one.
+func (p *Pool) take(ctx context.Context, avoid []ConnID) (*conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(avoid)
 		if c == nil {
 			break
 		}
@@ -171,19 +175,20 @@
 	return true
 }
 
-// pop removes and returns the most recently used idle connection, or nil if there is
-// none. It closes those that were idle for too long.
-func (p *Pool) pop() *conn {
+// pop removes and returns the most recently used idle connection that is not to be avoided, or
+// nil if there is none. It closes those that were idle for too long.
+func (p *Pool) pop(avoid []ConnID) *conn {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
-	if len(p.idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !slices.Contains(avoid, c.id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 // expire closes connections that were idle for too long. The caller holds p.mu.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -209,7 +209,7 @@
 	p.open = 1
 	p.idle = []*conn{{net: client, reader: bufio.NewReader(client), idleTimeout: time.Minute}}
 	fake.Time = 500 * time.Millisecond
-	is.Equal(p.pop(), nil) // 400 ms is the limit
+	is.Equal(p.pop(nil), nil) // 400 ms is the limit
 	fake.Time = 10 * time.Minute
 	is.Equal(p.currentIdleLimit(fake.Time), time.Duration(0))
 }
