Pass no refusal on that does not state that the request did not run

For the caller these statuses promise that it has not run and never will, while only the statement says so.

Such a response now leaves the outcome unknown, as a success without a signature does: an idempotent request is tried again, any other is answered 502.

forward.TestUnprovenRefusal failed before in all 16 cases, e.g. 503 signed=1 idempotent=false: status 503, signature "1" and passes now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -351,6 +351,11 @@
 		rs.outcomeUnknown = true
 		return nil, rs.route.Idempotent
 	}
+	if promisesNotRun(response.Status) {
+		event.Detail = "refusal that does not state that the request did not run"
+		rs.outcomeUnknown = true
+		return nil, rs.route.Idempotent
+	}
 	answer := f.passResponse(response)
 	if failed && rs.route.Idempotent {
 		// Another backend server may succeed.
@@ -364,6 +369,16 @@
 	return answer, false
 }
 
+// promisesNotRun reports whether a status promises a caller that the request has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // handleNotRun handles a response which states that the request did not run. If the
 // backend server does not own the key, it first waits for a change of the assignment.
 func (f *Forwarder) handleNotRun(rs *requestState, parsed ResponseHeaders) (*Answer, bool) {
--- a/internal/forward/extra_test.go
+++ b/internal/forward/extra_test.go
@@ -89,3 +89,31 @@
 		t.Errorf("ran %d times", n)
 	}
 }
+
+// TestUnprovenRefusal guards against a promise that a request has not run that its backend server
+// has not given: a status alone states nothing.
+func TestUnprovenRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, signature := range []string{"", "1"} {
+			for _, idempotent := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d signed=%s idempotent=%t", status, signature, idempotent), func(t *testing.T) {
+					var runs atomic.Int64
+					serve := func(w http.ResponseWriter, r *http.Request) {
+						runs.Add(1)
+						w.Header().Set("X-Id", "1")
+						w.Header().Set("X-Signed", signature)
+						w.WriteHeader(status)
+					}
+					answer := newTestForwarder(t, idempotent, serve, serve).request(context.Background(), "1")
+					if answer.Status != http.StatusBadGateway || answer.Header.Get("X-Signed") != "" {
+						t.Errorf("status %d, signature %q", answer.Status, answer.Header.Get("X-Signed"))
+					}
+					answer.Done()
+					if n := runs.Load(); n != 1 && !idempotent {
+						t.Errorf("ran %d times", n)
+					}
+				})
+			}
+		}
+	}
+}
