Reject a response head that mixes two responses

Cause: a backend server writes a part of an earlier refusal once more on a kept connection, and the response to the current request behind it. If the part ends within the reason or within the value of a header, net/http reads both as one head: the status of the refusal, with "did not run" if that came before, and the request ID, signature and body of the response.

A status line within the reason, or within the value of a header on a kept connection, now leaves the outcome unknown. On a new connection a value may hold one: nothing can precede the response there.

--- a/internal/forward/extra_test.go
+++ b/internal/forward/extra_test.go
@@ -30,6 +30,8 @@
 		"previous ID, two": notRunHead + "X-Id: 1\r\n\r\n" + notRunHead + "X-Id: 1\r\n\r\n",
 		"older ID":         notRunHead + "X-Id: 0\r\n\r\n",
 		"without ID":       notRunHead + "\r\n",
+		"cut in a value":   "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nRetry-After: 0.",
+		"cut in a reason":  "HTTP/1.1 503 Service Unav",
 		"informational":    "HTTP/1.1 103 Early Hints\r\nX-Not-Run: 1\r\n\r\n" + notRunHead + "\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,6 +10,8 @@
 	"context"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -213,10 +215,7 @@
 // carry another request.
 func (c *conn) readResponse(method string) (*Response, bool, error) {
 	c.limit.Remaining = maxHeadBytes
-	head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	for err == nil && head.StatusCode < 200 {
-		head, err = http.ReadResponse(c.reader, &http.Request{Method: method})
-	}
+	head, err := c.readHead(method)
 	if err != nil {
 		return nil, false, err
 	}
@@ -240,6 +239,42 @@
 	return response, framed && !head.Close, nil
 }
 
+// statusLine matches the start of a response.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}\b`)
+
+// readHead reads the head of the final response, and skips those of informational ones.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for {
+		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if err := c.checkHead(head); err != nil {
+			return nil, err
+		}
+		if head.StatusCode >= http.StatusOK {
+			return head, nil
+		}
+	}
+}
+
+// checkHead rejects what http.ReadResponse accepts: a head that begins with a part of another
+// one. On a new connection a status line in a value can only be part of that value.
+func (c *conn) checkHead(head *http.Response) error {
+	if statusLine.MatchString(head.Status) {
+		return errors.Errorf("second status line in the reason %q", head.Status)
+	}
+	if c.requests == 0 {
+		return nil
+	}
+	for name, values := range head.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return errors.Errorf("second status line in the header %s", name)
+		}
+	}
+	return nil
+}
+
 // parseIdleTimeout returns how long a connection may stay idle: the timeout of a
 // Keep-Alive header less idleMargin, or defaultIdleTimeout if the header states none.
 func parseIdleTimeout(header string) time.Duration {
