Reject a transfer coding in a response of HTTP/1.0

The caller got the framing of the chunks as the body with a length of its own, also if the response was cut within a chunk. RFC 9112, section 6.1, has its framing count as faulty.

The version is read ahead of the head, which is then parsed as one of HTTP/1.1; the connection is closed after the exchange. An informational response of HTTP/1.0 does not exist and is rejected too.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -245,10 +246,18 @@
 // readHead reads the head of the final response, and skips those of informational ones.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
+		version10, err := c.readVersion10()
+		if err != nil {
+			return nil, err
+		}
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
+		if version10 && (len(head.TransferEncoding) > 0 || head.StatusCode < http.StatusOK) {
+			return nil, errors.New("response of HTTP/1.0 with a transfer coding or an informational status")
+		}
+		head.Close = head.Close || version10
 		if err := c.checkHead(head); err != nil {
 			return nil, err
 		}
@@ -258,6 +267,22 @@
 	}
 }
 
+// readVersion10 reports whether the next head is of HTTP/1.0. If so, it makes the reader show the
+// head as one of HTTP/1.1: of an older one, http.ReadResponse drops the transfer coding and takes
+// the framing of the chunks for the body. The connection must not be kept then.
+func (c *conn) readVersion10() (bool, error) {
+	const old, current = "HTTP/1.0", "HTTP/1.1"
+	version, err := c.reader.Peek(len(old))
+	if err != nil || string(version) != old {
+		return false, err
+	}
+	if _, err := c.reader.Discard(len(old)); err != nil {
+		return false, err
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(strings.NewReader(current), c.reader), readBuffer)
+	return true, nil
+}
+
 // checkHead rejects what http.ReadResponse accepts: a head that begins with a part of another
 // one. On a new connection a status line in a value can only be part of that value.
 func (c *conn) checkHead(head *http.Response) error {
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -24,6 +24,9 @@
 		"empty length":                "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length:\r\n\r\nbody",
 		"signed length":               "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: +4\r\n\r\nbody",
 		"unknown coding":              "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip\r\n\r\nbody",
+		"HTTP/1.0 with coding":        "HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.0 with coding, cut":   "HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo",
+		"HTTP/1.0 informational":      "HTTP/1.0 103 Early Hints\r\n\r\n" + whole,
 		"blank line first":            "\r\n" + whole,
 	} {
 		t.Run(name, func(t *testing.T) {
