Reject a header name with a space and an invalid status in a response

A response that was cut was then taken as one without a length that is whole, and both lengths were sent to the caller. It also accepts statuses under 100, which were skipped as informational, and over 599.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -283,17 +283,22 @@
 	return true, nil
 }
 
-// checkHead rejects what http.ReadResponse accepts: a head that begins with a part of another
-// one. On a new connection a status line in a value can only be part of that value.
+// checkHead rejects what http.ReadResponse accepts: a status that no response has, a name with a
+// space, which hides the header (a length, for example) from its readers, and a head that begins
+// with a part of another one. On a new connection a status line in a value can only be part of
+// that value.
 func (c *conn) checkHead(head *http.Response) error {
+	if head.StatusCode < 100 || head.StatusCode > 599 {
+		return errors.Errorf("invalid status %d", head.StatusCode)
+	}
 	if statusLine.MatchString(head.Status) {
 		return errors.Errorf("second status line in the reason %q", head.Status)
 	}
-	if c.requests == 0 {
-		return nil
-	}
 	for name, values := range head.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
+		if strings.Contains(name, " ") {
+			return errors.Errorf("invalid header name %q", name)
+		}
+		if c.requests > 0 && slices.ContainsFunc(values, statusLine.MatchString) {
 			return errors.Errorf("second status line in the header %s", name)
 		}
 	}
