--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -356,7 +356,7 @@
 		rs.outcomeUnknown = true
 		return nil, rs.route.Idempotent
 	}
-	answer := f.passResponse(response)
+	answer := passResponse(rs.request.Method, response)
 	if failed && rs.route.Idempotent {
 		// Another backend server may succeed.
 		rs.lastResponse = answer
@@ -392,11 +392,14 @@
 	return nil, true
 }
 
-// passResponse returns a backend server's response as the answer to the caller.
-func (f *Forwarder) passResponse(response *upstream.Response) *Answer {
+// passResponse returns a backend server's response as the answer to the caller. The length stays
+// only where no body shows it.
+func passResponse(method string, response *upstream.Response) *Answer {
 	header := response.Header
 	httpheader.RemoveHopByHop(header)
-	header.Del("Content-Length")
+	if method != http.MethodHead || response.Status == http.StatusNoContent {
+		header.Del("Content-Length")
+	}
 	return &Answer{Status: response.Status, Header: header, Body: response.Body, response: response}
 }
 
--- a/internal/forward/detour.go
+++ b/internal/forward/detour.go
@@ -199,7 +199,7 @@
 	f.Detours.release(h, false)
 	rs.responses = append(rs.responses, result.Response)
 	rs.event.Reason = ""
-	return f.passResponse(result.Response), false
+	return passResponse(rs.request.Method, result.Response), false
 }
 
 // PeerHandler answers the requests that other VMs send while they have no path to the backend
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -219,7 +219,7 @@
 // writeAnswer writes one answer. The body is not copied, since many large ones may be written
 // at once.
 func (c *connection) writeAnswer(answer *forward.Answer, isHead, last bool) error {
-	content := net.Buffers{encodeHead(answer, last)}
+	content := net.Buffers{encodeHead(answer, isHead, last)}
 	if !isHead && len(answer.Body) > 0 {
 		content = append(content, answer.Body)
 	}
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -173,8 +173,9 @@
 	}, nil
 }
 
-// encodeHead returns the head of a response in HTTP/1.1 wire format.
-func encodeHead(a *forward.Answer, last bool) []byte {
+// encodeHead returns the head of a response in HTTP/1.1 wire format. The length of a response to
+// HEAD without a body is in its headers, if it is known.
+func encodeHead(a *forward.Answer, isHead, last bool) []byte {
 	var b bytes.Buffer
 	b.Grow(512)
 	b.WriteString("HTTP/1.1 ")
@@ -190,7 +191,8 @@
 			b.WriteString("\r\n")
 		}
 	}
-	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+	hasLength := a.Status != http.StatusNoContent && a.Status != http.StatusNotModified
+	if hasLength && (!isHead || len(a.Body) > 0) {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(a.Body)))
 		b.WriteString("\r\n")
