--- a/internal/forward/extra_test.go
+++ b/internal/forward/extra_test.go
@@ -44,16 +44,19 @@
 				runs.Add(1)
 				respondBehind(t, w, r, extra)
 			}
-			s := newTestForwarder(t, false, serve)
-			for _, id := range []string{"1", "2"} {
-				answer := s.request(context.Background(), id)
-				if answer.Status != http.StatusOK && answer.Status != http.StatusBadGateway {
-					t.Errorf("request %s: status %d %q", id, answer.Status, answer.Body)
+			// Directly, and by way of another VM.
+			for i, s := range []*testForwarder{newTestForwarder(t, false, serve), newCutForwarder(t, false, serve)} {
+				runs.Store(0)
+				for _, id := range []string{"1", "2"} {
+					answer := s.request(context.Background(), id)
+					if answer.Status != http.StatusOK && answer.Status != http.StatusBadGateway {
+						t.Errorf("way %d, request %s: status %d %q", i, id, answer.Status, answer.Body)
+					}
+					answer.Done()
+				}
+				if n := runs.Load(); n != 1 {
+					t.Errorf("way %d: request 2 ran %d times", i, n)
 				}
-				answer.Done()
-			}
-			if n := runs.Load(); n != 1 {
-				t.Errorf("request 2 ran %d times", n)
 			}
 		})
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -121,6 +121,27 @@
 	}
 }
 
+// A refusal that arrives on an idle connection must not be taken for the response to the next
+// request, not even with its ID.
+func TestResponseOnIdleConnection(t *testing.T) {
+	is := is.New(t)
+	extra := make(chan net.Conn, 2)
+	p := NewPool(startPeer(t, func(c net.Conn, _ int, id string) bool {
+		_, err := io.WriteString(c, encodeResponse(id, "body-"+id))
+		extra <- c
+		return err == nil
+	}), clock.System{}, testResponder{}, nil)
+	send(t, p, "1")
+	io.WriteString(<-extra, "HTTP/1.1 503 Service Unavailable\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\n") //nolint:errcheck // the test sees the result
+	for deadline := time.Now().Add(5 * time.Second); p.idle[0].usable() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	result := send(t, p, "2")
+	is.Equal(result.Outcome, OutcomeAnswered)
+	is.Equal(string(result.Response.Body), "body-2")
+	is.True(!result.Reused)
+}
+
 // An incomplete response or one to another request must not be accepted, and the
 // outcome must not be "not sent" when the request arrived.
 func TestInvalidResponse(t *testing.T) {
