Send no grant once the assignment lease may have ended

Cause: a lease holder decides on a call while its assignment lease is valid, and sends it from another goroutine, after it has connected. A VM that is suspended in between goes on where it was: timers of net/http run on the monotonic clock, which stops during a suspension, so that the call is sent up to 0.7 s after it. Another VM may have given the range on to a backend server; a grant to one that has not seen its token would be accepted.

--- a/internal/keylease/granter.go
+++ b/internal/keylease/granter.go
@@ -50,6 +50,9 @@
 	// only on the connection of the earlier grant: the process behind a new connection may
 	// have restarted, and must then get a higher token by a grant that is no renewal.
 	Renewal bool
+	// SendBy is the time of the boot-time clock after which the call must not be sent, since the
+	// assignment lease may have ended; 0 for no such time.
+	SendBy time.Duration
 }
 
 // Granter sends grants and releases to backend servers. A call that fails with an error
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -433,6 +433,7 @@
 // the loop.
 func (l *Lessor) sendCall(ctx context.Context, call Call) {
 	lease := l.lease
+	call.Grant.SendBy = lease.renewedAt + AssignmentLeaseDuration
 	go func() {
 		r := callResult{call: call, lease: lease}
 		if call.Kind == CallRelease {
