Count the leases of a predecessor from its last record

After a takeover, keys of backend servers that had been lost waited until 6.2 s after the claim, since calls of the last holder were taken to be possible for 3 s from the claim on.

A holder sends no call later than 3 s after its last record, and a silent one is replaced 1.7 s to 2 s after that record arrived. If it gave the lease up, or its process has ended, only calls in flight count. So leases end 6.9 s after the last record of a silent holder (7.9 s to 8.2 s before), and 3.9 s instead of 6.2 s after the claim if the holder has ended. Calls in flight now count with the whole time that the holder waits for an answer, 0.7 s.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -41,10 +41,9 @@
 	// new service are assigned. Backend servers publish themselves in the catalogue about
 	// once a second.
 	newServiceDelay = 1200 * time.Millisecond
-	// predecessorTimeout is how long a predecessor that did not resign may still renew key
-	// range leases after this VM acquired the assignment lease: until its own assignment
-	// lease expires. Until then no range is moved for balance or merged.
-	predecessorTimeout = AssignmentLeaseDuration
+	// takeoverSettleTime is the time after a claim of a lease that was not resigned in which no
+	// range is moved for balance or merged. Reports of the load of keys arrive in it.
+	takeoverSettleTime = 3 * time.Second
 )
 
 // Server is a backend server as listed in the catalogue.
@@ -153,9 +152,9 @@
 	ranges   map[string][]*rangeState
 	version  int64 // of the newest state; grows with each change
 	accepted int64 // newest version that the shared log accepted
-	// predecessorUntil is the latest time at which the predecessor may still send calls.
-	predecessorUntil time.Duration
-	lastBalance      map[string]time.Duration
+	// settledFrom is the time from which ranges are moved for balance and merged.
+	settledFrom time.Duration
+	lastBalance map[string]time.Duration
 	// newServices are the services whose keys are not assigned yet. Before newServicesFrom a
 	// service without ranges may be one whose ranges are lost since the log was restored.
 	newServices     map[string]*newService
@@ -182,35 +181,43 @@
 // shared log.
 func firstFence(era int64) int64 { return era * eraFences }
 
+// Predecessor is what a VM that claims the assignment lease knows of its last holder.
+type Predecessor struct {
+	// Resigned is set if the holder had ended all its calls before it gave up the lease.
+	Resigned bool
+	// CallsUntil is the latest time at which a call of the holder may reach a backend server.
+	CallsUntil time.Duration
+}
+
 // NewCore returns the core of an instance that claims the assignment lease in the given era
 // of the shared log; its State is what the claim records. recorded is the assignment before
-// the claim, or nil if there is none. If resigned is set, the predecessor had ended all its
-// calls before it gave up the lease. A recorded assignment of an earlier era may lack the
+// the claim, or nil if there is none. A recorded assignment of an earlier era may lack the
 // newest grants: its owners only hint at where the ranges were.
 //
 // Each range gets a new fencing token: the process at an owner's address may have started
 // after the recorded grant, and must not get the range with the token of an earlier process.
-func NewCore(instance string, recorded *keyrange.Assignment, era int64, now time.Duration, resigned bool) *Core {
+func NewCore(instance string, recorded *keyrange.Assignment, era int64, now time.Duration, p Predecessor) *Core {
 	c := &Core{
 		instance: instance, era: era, fence: firstFence(era),
 		ranges: make(map[string][]*rangeState), lastBalance: make(map[string]time.Duration),
-		newServices:      make(map[string]*newService),
-		avoidUntil:       make(map[string]time.Duration),
-		predecessorUntil: now + predecessorTimeout,
+		newServices: make(map[string]*newService),
+		avoidUntil:  make(map[string]time.Duration),
+		settledFrom: now,
+	}
+	if !p.Resigned {
+		c.settledFrom += takeoverSettleTime
 	}
 	if recorded == nil {
-		if resigned {
-			c.predecessorUntil = now
-		}
 		return c
 	}
 	restored := recorded.Era < era
-	leasedUntil := now + AssignmentLeaseDuration + RangeLeaseDuration + holdMargin
+	if restored { // other VMs may have held the lease in the part of the log that is lost
+		p = Predecessor{CallsUntil: now + AssignmentLeaseDuration + grantTimeout}
+	}
+	leasedUntil := p.CallsUntil + RangeLeaseDuration + holdMargin
 	uncertainUntil := leasedUntil // the predecessor may renew a lease that its owner has released
-	if resigned && !restored {
-		leasedUntil = now + RangeLeaseDuration + holdMargin
+	if p.Resigned {
 		uncertainUntil = now
-		c.predecessorUntil = now
 	}
 	if era > 0 {
 		c.newServicesFrom = now + AssignmentLeaseDuration + RangeLeaseDuration + holdMargin
@@ -509,7 +516,7 @@
 // balance starts moves that take load from busy owners.
 func (c *Core) balance(service string, servers []Server, weight func(service string) *keyrange.Weight, now time.Duration) {
 	limit := keyrange.MoveLimit(len(servers), len(c.ranges[service])) - c.movingCount(service)
-	if now < c.predecessorUntil || now < c.lastBalance[service]+balanceInterval || limit <= 0 {
+	if now < c.settledFrom || now < c.lastBalance[service]+balanceInterval || limit <= 0 {
 		return
 	}
 	c.lastBalance[service] = now
@@ -536,7 +543,7 @@
 // merge joins the first two adjacent ranges of the same owner under a new fencing
 // token, so that the number of grants to renew stays small.
 func (c *Core) merge(service string, now time.Duration) {
-	if now < c.predecessorUntil {
+	if now < c.settledFrom {
 		return
 	}
 	ranges := c.ranges[service]
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -126,7 +126,7 @@
 	for range 5 {
 		m.addServer()
 	}
-	m.holder = &modelHolder{core: NewCore("vm-0", nil, 0, 0, true)}
+	m.holder = &modelHolder{core: NewCore("vm-0", nil, 0, 0, Predecessor{Resigned: true})}
 	return m
 }
 
@@ -470,7 +470,7 @@
 		m.holder.cutAt = m.now
 	}
 	m.predecessors = append(m.predecessors, m.holder)
-	core := NewCore("vm", m.record.Clone(), m.era, m.now, false)
+	core := NewCore("vm", m.record.Clone(), m.era, m.now, Predecessor{CallsUntil: m.holder.renewedAt + AssignmentLeaseDuration + grantTimeout})
 	m.record = core.State().Clone()
 	m.history = append(m.history, acceptedRecord{m.record, m.now})
 	m.holder = &modelHolder{
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -652,24 +652,39 @@
 // topic ends at expectedEnd. If the shared log was restored from an older copy, the owners
 // that this VM knows may not be the newest ones, so the record has none.
 func (l *Lessor) claim(ctx context.Context, current *keyrange.Assignment, expectedEnd sharedlog.Position, now time.Duration) {
-	resigned := current == nil || current.Holder == "" && !current.Unconfirmed
+	last := l.predecessor(current, now)
 	if current == nil && !l.FirstStart {
 		current = &keyrange.Assignment{} // the record may be lost, in a restored log
 	}
-	core := NewCore(l.Instance, current, expectedEnd.Era, now, resigned)
+	core := NewCore(l.Instance, current, expectedEnd.Era, now, last)
 	state := core.State()
 	state.Address = l.Address
 	record, ok := l.assignmentRecord("claim", state)
 	if !ok {
 		return
 	}
-	lastRecordAt, _ := l.Table.recordAndReadTimes()
-	l.Logger.Info("claiming the assignment lease", zap.Int64("end", expectedEnd.Offset), zap.Bool("resigned", resigned),
-		zap.Int64("silent_ms", (now-lastRecordAt).Milliseconds()))
+	l.Logger.Info("claiming the assignment lease", zap.Int64("end", expectedEnd.Offset), zap.Bool("resigned", last.Resigned),
+		zap.Int64("calls_left_ms", (last.CallsUntil-now).Milliseconds()))
 	l.claiming = true
 	l.append(ctx, nil, []sharedlog.Record{record}, expectedEnd, appendResult{claimed: core, sentAt: now})
 }
 
+// predecessor returns what is known of the last holder of the lease. A holder that falls silent
+// wrote its last record before that arrived here, and sends no call once the lease of that record
+// has ended.
+func (l *Lessor) predecessor(current *keyrange.Assignment, now time.Duration) Predecessor {
+	lastRecordAt, _ := l.Table.recordAndReadTimes()
+	switch {
+	case current == nil || current.Holder == "" && !current.Unconfirmed:
+		return Predecessor{Resigned: true, CallsUntil: now}
+	case current.Holder == "": // it gave up the lease with calls in flight
+		return Predecessor{CallsUntil: lastRecordAt + grantTimeout}
+	case current.Address == l.Address: // its process has ended
+		return Predecessor{CallsUntil: now + grantTimeout}
+	}
+	return Predecessor{CallsUntil: lastRecordAt + AssignmentLeaseDuration + grantTimeout}
+}
+
 // finishClaim acquires the lease if the claim was accepted.
 func (l *Lessor) finishClaim(a appendResult) {
 	l.claiming = false
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -409,7 +409,7 @@
 // of a new service because the others were not listed yet.
 func TestNewServiceWaitsForServers(t *testing.T) {
 	is := is.New(t)
-	c := NewCore("vm", nil, 0, 0, true)
+	c := NewCore("vm", nil, 0, 0, Predecessor{Resigned: true})
 	in := Input{Weight: noWeight, Servers: map[string][]Server{"s": nil}}
 	for i := range 5 {
 		now := time.Duration(i) * 500 * time.Millisecond
@@ -433,7 +433,7 @@
 // fencing token each time.
 func TestFailedGrantBacksOff(t *testing.T) {
 	for _, err := range []error{ErrRejected, ErrNotSent, errors.New("reset")} {
-		c := NewCore("vm", nil, 0, 0, true)
+		c := NewCore("vm", nil, 0, 0, Predecessor{Resigned: true})
 		in := Input{Weight: noWeight, Servers: map[string][]Server{"s": {{ID: "a", Address: "a", Usable: true, Capacity: 1}}}}
 		calls := 0
 		for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
@@ -456,7 +456,7 @@
 	server := func(id string, usable bool) Server {
 		return Server{ID: id, Address: id, Started: 1, Usable: usable, Capacity: 4}
 	}
-	core := NewCore("vm", nil, 0, 0, true)
+	core := NewCore("vm", nil, 0, 0, Predecessor{Resigned: true})
 	kinds := make(map[ChangeKind]string)
 	step := func(now time.Duration, servers ...Server) {
 		for _, call := range core.Step(now, Input{Weight: noWeight, Servers: map[string][]Server{"s": servers}}) {
--- a/internal/keylease/takeover_test.go
+++ b/internal/keylease/takeover_test.go
@@ -142,3 +142,20 @@
 		})
 	}
 }
+
+// TestKeysOfLostOwnerAtTakeover guards against keys that stay without an owner for longer than
+// leases by the last lease holder can run, because its successor counts them from its own claim.
+func TestKeysOfLostOwnerAtTakeover(t *testing.T) {
+	const limit = AssignmentLeaseDuration + grantTimeout + RangeLeaseDuration + holdMargin + 100*time.Millisecond
+	m := newScriptedModel(t)
+	m.cutHolder()
+	cutAt := m.now
+	m.servers[0].end()
+	m.servers[0].listed = false
+	for end := m.now + 10*time.Second; m.now < end && m.heldKeys() <= keyrange.MaxKey; {
+		m.step()
+	}
+	if without := m.now - cutAt; without > limit {
+		t.Errorf("keys were without an owner for %s, %s are allowed", without, limit)
+	}
+}
