Accept any bytes in the keys of records from a relay

VMs that poll a relay logged "relay not in use, reading the log" with the error "cbor: invalid UTF-8 string" when another program had written a record whose key is no UTF-8 to a topic that VMs follow: all read the shared log themselves until they had read past the record, and again each time it was written. Cause: a relay encodes the key as text without a check, and the decoder of messages between VMs rejects a whole message for it.

relay.TestKeysOfOtherWriters failed before:

relay_test.go:201: err: peer error 2: cbor: invalid UTF-8 string

Messages between VMs are decoded with any bytes in texts now; the test passes.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -94,6 +94,8 @@
 		MaxNestedLevels:  16,
 		MaxArrayElements: 1 << 20,
 		MaxMapPairs:      1 << 16,
+		// Relays pass on records of other writers, whose keys may be any bytes.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -183,6 +183,29 @@
 	is.Equal(len(reply.Records), 0)
 }
 
+// TestKeysOfOtherWriters guards against VMs that can use no relay, and all read the shared
+// log, because another program has written a record whose key is no UTF-8.
+func TestKeysOfOtherWriters(t *testing.T) {
+	is := is.New(t)
+	cache := NewCache(clock.System{}.Now, nil)
+	cache.put("t", sharedlog.Batch{Next: 2, Records: []sharedlog.Record{
+		{Key: "\xff\xfe", Value: []byte("odd")}, {Key: "b", Offset: 1, Value: []byte("1")},
+	}}, directory.BatchInfo{Snapshot: true})
+	peers := peer.NewServer(peer.Identity{Version: peer.Version, VM: "relay"}, "", zap.NewNop())
+	Serve(peers, cache, func([][]byte) {}, func() bool { return false })
+	server := httptest.NewServer(peers)
+	defer server.Close()
+	client := peer.NewClient(peer.Identity{Version: peer.Version, VM: "leaf"}, "")
+	var reply pollReply
+	_, err := client.Call(context.Background(), strings.TrimPrefix(server.URL, "http://"), pollMessage, poll{Cursors: map[string]int64{"t": noCursor}}, &reply)
+	is.NoErr(err)
+	values := make(map[string]string)
+	for _, r := range reply.Topics["t"].Records {
+		values[r.Key] = string(r.Value)
+	}
+	is.Equal(values, map[string]string{"\xff\xfe": "odd", "b": "1"})
+}
+
 // TestParentsFormTree guards against VMs that poll each other in a cycle, and against too
 // many VMs that poll the same one.
 func TestParentsFormTree(t *testing.T) {
