Read the topic of the lease again after other writers

A lease holder does not read the topic while its appends are accepted. If another program had written to the topic and an append of the holder was accepted within a second of the one before it, the holder did not read that record: its copy of the topic stayed where it was for as long as no append took more than a second. Cause: its own appends are only applied at the end of the copy, and reads were resumed only after a second without an accepted append.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -584,13 +584,12 @@
 // applyAppended applies the records of an accepted append to the table without a read,
 // and so passes them on to the VMs for which this one is the relay.
 func (l *Lessor) applyAppended(a appendResult) {
-	if a.newEnd.Era != a.expectedEnd.Era || a.newEnd.Offset != a.expectedEnd.Offset+int64(len(a.records)) {
-		return // other VMs appended too, so the topic must be read
-	}
-	l.follower.DeliverAppended(a.records, a.expectedEnd, a.sentAt)
-	if next, _ := l.follower.Cursor(); next == a.newEnd {
-		l.setPaused(true)
+	if a.newEnd.Era == a.expectedEnd.Era && a.newEnd.Offset == a.expectedEnd.Offset+int64(len(a.records)) {
+		l.follower.DeliverAppended(a.records, a.expectedEnd, a.sentAt)
 	}
+	// If others appended too, the topic must be read.
+	next, _ := l.follower.Cursor()
+	l.setPaused(next == a.newEnd)
 }
 
 // claimIfFree claims the assignment lease if its holder resigned, fell silent or ended.
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -180,7 +180,9 @@
 	log    *vmLog
 	grants *countingGranter
 	unfit  atomic.Bool
-	mu     sync.Mutex
+	// started is the start of the process of the only backend server.
+	started atomic.Int64
+	mu      sync.Mutex
 	// acquisitions counts how often this VM acquired the assignment lease.
 	acquisitions int
 	held         bool
@@ -200,7 +202,7 @@
 		Instance: name, Address: address, Logger: zap.NewNop(),
 		ConfigKnown: func() bool { return true }, Preferred: func() bool { return true }, Unfit: l.unfit.Load,
 		Input: func() Input {
-			return Input{Weight: noWeight, Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Usable: true, Capacity: 1}}}}
+			return Input{Weight: noWeight, Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Started: l.started.Load(), Usable: true, Capacity: 1}}}}
 		},
 		Wake:        func() <-chan struct{} { return never },
 		Notices:     func() ([]byte, []byte) { return []byte("same heartbeat"), []byte("same members") },
@@ -293,6 +295,26 @@
 	is.Equal(acquisitions, 0)
 }
 
+// TestHolderReadsAfterOtherWriter guards against a lease holder that no longer reads its topic
+// after another program has written to it: the VMs that poll it would get no records for good.
+func TestHolderReadsAfterOtherWriter(t *testing.T) {
+	log := &memoryLog{}
+	holder := startLessor(t, log, "first")
+	await(t, "the lease is held", func() bool { held, _ := holder.state(); return held })
+	await(t, "reads are paused", func() bool { return holder.pauseReads() != nil })
+	size := log.size()
+	await(t, "a heartbeat is accepted", func() bool { return log.size() > size })
+	if _, err := log.Append(context.Background(), "lease", []sharedlog.Record{{Key: "odd", Value: []byte("odd")}}, sharedlog.AnyEnd); err != nil {
+		t.Fatal(err)
+	}
+	holder.started.Add(1) // the assignment changes before the next heartbeat is due
+	end := int64(log.size())
+	time.Sleep(2 * HeartbeatInterval)
+	if next, _ := holder.Follower().Cursor(); next.Offset <= end {
+		t.Errorf("the holder has read up to %d of %d records", next.Offset, log.size())
+	}
+}
+
 // TestHolderPausesReads guards against a lease holder that reads the topic although it
 // is the only writer; each read costs a call. It must read again once its appends fail.
 func TestHolderPausesReads(t *testing.T) {
