Keep the assignment lease when another program overwrites its record

One record that is no assignment, under the key of the assignment, left the fleet without a lease holder for good: the holder took it for the claim of a later version of the program and gave up, and no VM claims a lease whose record it cannot decode. The keys of all keyed services were unserved once their leases had ended.

keylease.TestOddAssignment failed before, at the first of six such records:

lessor_test.go:316: condition not met within 15s: the assignment is recorded again

Only a record that states another format counts as one of another version now. Beside any other that cannot be decoded the VMs keep the assignment that they know, the holder keeps the lease and records the assignment again, and after the holder's loss another VM claims the lease. The test passes. A VM that knows no assignment still leaves the lease alone beside such a record (TestUnreadableRecord, unchanged): nobody knows the fencing tokens in use then.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -251,6 +251,10 @@
 	c.version++
 }
 
+// Overwritten notes that another program has overwritten the recorded state, so that it has to
+// be recorded again.
+func (c *Core) Overwritten() { c.version++ }
+
 // State returns the assignment to record in the shared log.
 func (c *Core) State() *keyrange.Assignment {
 	a := &keyrange.Assignment{Holder: c.instance, Fence: c.fence, Era: c.era, Services: make(map[string][]keyrange.Entry)}
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -153,12 +154,14 @@
 
 // appendResult is the result of an append of records at the position expectedEnd. version
 // is the version of the state in them; claim marks a claim of the assignment lease, and
-// reclaim the record of a held lease in a restored shared log.
+// reclaim the record of a held lease in a restored shared log. overwritten is set if another
+// program has written over the assignment.
 type appendResult struct {
 	lease               *leaseState
 	version             int64
 	claimed             *Core
 	reclaim             bool
+	overwritten         bool
 	sentAt              time.Duration
 	records             []sharedlog.Record
 	expectedEnd, newEnd sharedlog.Position
@@ -510,10 +513,7 @@
 	go func() {
 		a.newEnd, a.err = l.Log.Append(ctx, l.Topic, records, expectedEnd)
 		if a.err != nil {
-			var applied bool
-			if applied, a.newEnd, a.err = l.readBack(ctx, records, expectedEnd, a.err); applied {
-				a.err = nil
-			}
+			l.readBack(ctx, &a)
 		}
 		select {
 		case l.appendResults <- a:
@@ -522,31 +522,36 @@
 	}()
 }
 
-// readBack finds out whether an append that failed with cause has taken effect. It
-// returns whether the records are in the topic, the position to append at next, and the
-// error to report if they are not. Assignments of an earlier era than the append are those
-// of a delayed append, which no VM takes for a claim.
-func (l *Lessor) readBack(ctx context.Context, records []sharedlog.Record, expectedEnd sharedlog.Position, cause error) (bool, sharedlog.Position, error) {
-	batch, err := l.Log.Read(ctx, l.Topic, expectedEnd, 0)
+// readBack finds out whether an append that failed has taken effect. It sets the position to
+// append at next, and the error to report if the records are not in the topic. Assignments of an
+// earlier era than the append are those of a delayed append, which no VM takes for a claim.
+func (l *Lessor) readBack(ctx context.Context, a *appendResult) {
+	a.newEnd = a.expectedEnd
+	batch, err := l.Log.Read(ctx, l.Topic, a.expectedEnd, 0)
 	if err != nil {
 		if errors.Is(err, sharedlog.ErrRestored) || errors.Is(err, sharedlog.ErrTrimmed) {
-			cause = err
+			a.err = err
 		}
-		return false, expectedEnd, cause
+		return
 	}
+	a.newEnd = batch.NextPosition()
 	applied := false
 	for _, record := range batch.Records {
 		if record.Key == keyAssignment {
 			assignment, err := keyrange.Decode(record.Value)
-			if err != nil || assignment.Holder != l.Instance && assignment.Era >= expectedEnd.Era {
-				return false, batch.NextPosition(), errNotHolder
+			if errors.Is(err, keyrange.ErrOtherFormat) || err == nil && assignment.Holder != l.Instance && assignment.Era >= a.expectedEnd.Era {
+				a.err = errNotHolder
+				return
 			}
+			a.overwritten = err != nil
 		}
-		for _, appended := range records {
-			applied = applied || appended.Key == record.Key && bytes.Equal(appended.Value, record.Value)
-		}
+		applied = applied || slices.ContainsFunc(a.records, func(r sharedlog.Record) bool {
+			return r.Key == record.Key && bytes.Equal(r.Value, record.Value)
+		})
+	}
+	if applied {
+		a.err = nil
 	}
-	return applied, batch.NextPosition(), cause
 }
 
 // finishAppend processes the result of an append.
@@ -560,6 +565,9 @@
 		return
 	}
 	lease.appending = false
+	if a.overwritten {
+		lease.core.Overwritten()
+	}
 	switch {
 	case a.err == nil:
 		lease.topicEnd, lease.renewedAt = a.newEnd, a.sentAt
@@ -692,6 +700,9 @@
 		return
 	}
 	l.lease = &leaseState{core: a.claimed, topicEnd: a.newEnd, renewedAt: a.sentAt}
+	if a.overwritten {
+		l.lease.core.Overwritten()
+	}
 	l.vacantSince = 0
 	l.Logger.Info("assignment lease acquired", zap.Int64("end", a.newEnd.Offset), zap.Int64("era", a.newEnd.Era))
 	l.OnLeaseChange(true)
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -295,6 +296,50 @@
 	is.Equal(acquisitions, 0)
 }
 
+// oddAssignments are records under the key of the assignment that no VM wrote.
+var oddAssignments = []string{"{}", "\x00\xff", "", "\xa0", "\xf6", "\xa2\x0a\x02\x06\xa1\x61s\x80"}
+
+// TestOddAssignment guards against a fleet without a lease holder, for good, after another
+// program has written to the topic of the assignment lease: the holder took the record for a
+// claim, and no VM claimed a lease whose record it could not decode.
+func TestOddAssignment(t *testing.T) {
+	is := is.New(t)
+	log := &memoryLog{}
+	first := startLessor(t, log, "first")
+	await(t, "the lease is held", func() bool { held, _ := first.state(); return held })
+	second := startLessor(t, log, "second")
+	await(t, "both VMs know the holder", func() bool { return second.Table.holder() == "first" && first.Table.holder() == "first" })
+	for _, odd := range oddAssignments {
+		_, err := log.Append(context.Background(), "lease", []sharedlog.Record{{Key: keyAssignment, Value: []byte(odd)}}, sharedlog.AnyEnd)
+		is.NoErr(err)
+		// A VM that starts now gets the newest record only.
+		await(t, "the assignment is recorded again", func() bool {
+			content := log.newest(keyAssignment)
+			a, err := keyrange.Decode(content)
+			return err == nil && a.Holder == "first"
+		})
+	}
+	held, acquisitions := first.state()
+	is.True(held)
+	is.Equal(acquisitions, 1)
+	first.log.setDisconnected(true)
+	_, err := log.Append(context.Background(), "lease", []sharedlog.Record{{Key: keyAssignment, Value: []byte("odd")}}, sharedlog.AnyEnd)
+	is.NoErr(err)
+	await(t, "the second VM takes over", func() bool { held, _ := second.state(); return held })
+}
+
+// newest returns the value of the newest record of a key.
+func (l *memoryLog) newest(key string) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range slices.Backward(l.records) {
+		if r.Key == key {
+			return r.Value
+		}
+	}
+	return nil
+}
+
 // TestHolderReadsAfterOtherWriter guards against a lease holder that no longer reads its topic
 // after another program has written to it: the VMs that poll it would get no records for good.
 func TestHolderReadsAfterOtherWriter(t *testing.T) {
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/keyrange"
@@ -25,8 +26,9 @@
 	log *zap.Logger
 
 	current atomic.Pointer[keyrange.Assignment]
-	// undecodable is set while the newest assignment record cannot be decoded, for
-	// example because a newer version of the program wrote it.
+	// undecodable is set while the newest assignment record cannot be decoded: because a
+	// newer version of the program wrote it, or another program did when no assignment was
+	// known.
 	undecodable atomic.Bool
 	changed     atomic.Pointer[chan struct{}]
 
@@ -80,8 +82,12 @@
 		case keyAssignment:
 			assignment, err := keyrange.Decode(record.Value)
 			if err != nil {
-				t.log.Error("assignment record cannot be decoded", zap.Int64("offset", record.Offset), logfield.Error(err))
-				t.undecodable.Store(true)
+				// The lease holder records the known assignment again over that of another program.
+				ignored := t.Current() != nil && !errors.Is(err, keyrange.ErrOtherFormat)
+				t.log.Error("assignment record cannot be decoded", zap.Int64("offset", record.Offset), zap.Bool("ignored", ignored), logfield.Error(err))
+				if !ignored {
+					t.undecodable.Store(true)
+				}
 				continue
 			}
 			t.undecodable.Store(false)
--- a/internal/keyrange/record.go
+++ b/internal/keyrange/record.go
@@ -79,16 +79,38 @@
 	return content, nil
 }
 
-// Decode parses an encoded record of an assignment. It fails if the record has another
-// format or its ranges don't cover a key space exactly once.
+// ErrOtherFormat reports a record that states another format: another version of the program
+// wrote it. Records without a format are of other writers.
+var ErrOtherFormat = errors.New("the record has another format")
+
+// checkFormat returns an error if the record does not state recordFormat. The other fields
+// of another format may have other types.
+func checkFormat(content []byte) error {
+	var r struct {
+		Format int `cbor:"10,keyasint"`
+	}
+	if err := cbor.Unmarshal(content, &r); err != nil {
+		return errors.Wrap(err, "decode assignment")
+	}
+	switch r.Format {
+	case recordFormat:
+		return nil
+	case 0:
+		return errors.New("decode assignment: the record states no format")
+	}
+	return errors.Wrapf(ErrOtherFormat, "decode assignment: format %d, want %d", r.Format, recordFormat)
+}
+
+// Decode parses an encoded record of an assignment. It fails with ErrOtherFormat if the
+// record has another format, and if its ranges don't cover a key space exactly once.
 func Decode(content []byte) (*Assignment, error) {
+	if err := checkFormat(content); err != nil {
+		return nil, err
+	}
 	var r record
 	if err := cbor.Unmarshal(content, &r); err != nil {
 		return nil, errors.Wrap(err, "decode assignment")
 	}
-	if r.Format != recordFormat {
-		return nil, errors.Errorf("decode assignment: record has format %d, want %d", r.Format, recordFormat)
-	}
 	a := &Assignment{Holder: r.Holder, Address: r.Address, Fence: r.Fence, Unconfirmed: r.Unconfirmed, Era: r.Era, Services: make(map[string][]Entry, len(r.Services))}
 	for service, list := range r.Services {
 		entries := make([]Entry, len(list))
