Reject values out of range in reports, allotments and lists of members

Any program may write to the topics that the VMs keep in the shared log. A report or an allotment with an infinite demand, a factor above 1, NaN or negative counts was taken as it was: an infinite demand leaves each VM 8% of an even share of the workspace's rate, a negative number of members admits every request.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -117,10 +117,14 @@
 	return content, nil
 }
 
-// Decode parses the encoded form of a report, a list of members or an allotment into v.
-func Decode(content []byte, v any) error {
+// Decode parses the encoded form of a report, a list of members or an allotment into v. It
+// fails if values are out of range, as another program may write them to the shared log.
+func Decode(content []byte, v validator) error {
 	if err := cbor.Unmarshal(content, v); err != nil {
 		return errors.Wrap(err, "decode share message")
 	}
+	if !v.valid() {
+		return errors.New("decode share message: a value is out of range")
+	}
 	return nil
 }
