Pass on catalogue entries that cannot be decoded as removals

A relay kept the entries of other programs like those of backend servers and sent them to each VM whose records were too old for the recent ones.

For the VMs such an entry is a removal of its ID. The relay passes it on as one now, and not at all if the ID was not listed before. Only VMs that read the log themselves log it. relay.TestUnreadableRecords is new.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,6 +55,9 @@
 	return a.Err == nil && b.Err == nil && a.Backend == b.Backend
 }
 
+// Unreadable reports whether an entry of a backend server cannot be decoded.
+func (s *Sources) Unreadable(r sharedlog.Record) bool { return s.DecodeBackend(r).Err != nil }
+
 // View is an immutable snapshot of the configuration, the evacuated failure domains and
 // the catalogue.
 type View struct {
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -21,8 +21,9 @@
 // this VM follows, for the VMs that poll it. It is safe for concurrent use. No other lock
 // is acquired while its lock is held.
 type Cache struct {
-	now       func() time.Duration
-	unchanged map[string]func(before, after sharedlog.Record) bool
+	now        func() time.Duration
+	unchanged  map[string]func(before, after sharedlog.Record) bool
+	unreadable map[string]func(sharedlog.Record) bool
 
 	mu      sync.Mutex
 	topics  map[string]*topicCache
@@ -33,7 +34,7 @@
 type topicCache struct {
 	newest     map[string]sharedlog.Record
 	recent     []sharedlog.Record
-	recentFrom int64 // recent is complete from this offset on, except for unchanged records and superseded ones of a key
+	recentFrom int64 // recent is complete from this offset on, except for unchanged records, unreadable ones of new keys and superseded ones of a key
 	next       int64 // offset after the newest record
 	era        int64 // era of all offsets
 	info       directory.BatchInfo
@@ -43,7 +44,14 @@
 // whether a record does not differ from the one before it under the same key. Such
 // records are not passed on; topics without a function pass on all records.
 func NewCache(now func() time.Duration, unchanged map[string]func(before, after sharedlog.Record) bool) *Cache {
-	return &Cache{now: now, unchanged: unchanged, topics: make(map[string]*topicCache), changed: make(chan struct{})}
+	return &Cache{now: now, unchanged: unchanged, unreadable: make(map[string]func(sharedlog.Record) bool), topics: make(map[string]*topicCache), changed: make(chan struct{})}
+}
+
+// OmitUnreadable makes the cache pass on records of a topic that no VM can decode as
+// removals of their keys, which they are for the VMs: their values could be large. It must be
+// called before Wrap.
+func (c *Cache) OmitUnreadable(topic string, unreadable func(sharedlog.Record) bool) {
+	c.unreadable[topic] = unreadable
 }
 
 // Wrap makes the follower store each batch in the cache before it applies the batch. It
@@ -73,7 +81,13 @@
 	}
 	wake := info.Snapshot // whether to wake waiting polls
 	for _, record := range b.Records {
-		before := t.newest[record.Key]
+		before, known := t.newest[record.Key]
+		if unreadable := c.unreadable[topic]; unreadable != nil && len(record.Value) > 0 && unreadable(record) {
+			if !known {
+				continue
+			}
+			record.Value = nil
+		}
 		if len(record.Value) == 0 {
 			delete(t.newest, record.Key)
 		} else {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -206,6 +206,36 @@
 	is.Equal(values, map[string]string{"\xff\xfe": "odd", "b": "1"})
 }
 
+// TestUnreadableRecords guards against VMs that can use no relay because entries of another
+// program, which no VM can decode, make its answers larger than a message may be.
+func TestUnreadableRecords(t *testing.T) {
+	is := is.New(t)
+	const entries, size = 40, 256 << 10
+	cache := NewCache(clock.System{}.Now, nil)
+	cache.OmitUnreadable("t", func(r sharedlog.Record) bool { return r.Value[0] == 'x' })
+	odd := make([]byte, size)
+	odd[0] = 'x'
+	batch := sharedlog.Batch{Next: entries}
+	for i := range entries {
+		batch.Records = append(batch.Records, sharedlog.Record{Key: fmt.Sprint("odd-", i), Offset: int64(i), Value: odd})
+	}
+	cache.put("t", sharedlog.Batch{Next: 1, Records: []sharedlog.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("1")}}}, directory.BatchInfo{Snapshot: true})
+	batch.Records[3] = sharedlog.Record{Key: "b", Offset: 3, Value: odd} // it was a valid entry before
+	cache.put("t", batch, directory.BatchInfo{})
+	poll := func(cursor int64) map[string]string {
+		reply, _ := cache.read("t", sharedlog.Position{Offset: cursor})
+		is.Equal(reply.Next, int64(entries))
+		values := make(map[string]string)
+		for _, r := range reply.Records {
+			values[r.Key] = string(r.Value)
+		}
+		return values
+	}
+	is.Equal(poll(noCursor), map[string]string{"a": "1"})
+	is.Equal(poll(1), map[string]string{"b": ""}) // removed
+	is.Equal(len(batch.Records[3].Value), size)   // this VM itself gets the entries as they are
+}
+
 // TestParentsFormTree guards against VMs that poll each other in a cycle, and against too
 // many VMs that poll the same one.
 func TestParentsFormTree(t *testing.T) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -200,6 +200,7 @@
 	cache := relay.NewCache(r.clock.Now, map[string]func(before, after sharedlog.Record) bool{
 		r.options.Sources.BackendTopic: r.options.Sources.Unchanged,
 	})
+	cache.OmitUnreadable(r.options.Sources.BackendTopic, r.options.Sources.Unreadable)
 	for _, f := range r.followers {
 		cache.Wrap(f)
 	}
