Reject attempts that reach a VM instead of a backend server

If an entry of another program had the address of a VM, attempts went there. That VM took them for requests of callers without a caller key, and the callers got its status 401, after which they don't retry. Where no key is needed, the VMs sent the request to each other until the number of requests in flight reached what the entry allows (18 exchanges with 4 slots, seen with a first form of the test).

A VM answers 421 now to a request for a backend server that the catalogue lists: only VMs know its ID. So the attempt has not run, and another backend server gets the request.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -205,7 +205,7 @@
 	return exit != 0 && rs.deadline+answerMargin > exit
 }
 
-// admit checks the configuration's age, the route, the caller key and the rate. It
+// admit checks that the request is not an attempt of a VM, the configuration's age, the route, the caller key and the rate. It
 // returns the rejection, or nil if the request is admitted.
 func (f *Forwarder) admit(ctx context.Context, rs *requestState) *Answer {
 	age := f.Directory.ConfigAge()
@@ -214,6 +214,11 @@
 		return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "no-configuration")
 	}
 	rs.event.ConfigVersion = rs.view.Config.Version
+	if _, listed := rs.view.Backends[rs.call.Instance]; listed {
+		// A VM has sent it here as an attempt: the entry of the backend server has the address
+		// of this VM. Without the rejection the VMs would send it to each other.
+		return f.reject(rs, http.StatusMisdirectedRequest, "address-of-vm")
+	}
 	if age > f.MaxConfigAge {
 		return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "configuration-stale")
 	}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -28,6 +28,9 @@
 	CallerKey string
 	// Key is the key for keyed services, or NoKey.
 	Key int
+	// Instance is the ID of the only backend server that may run the request; empty if any
+	// may, as for requests of callers.
+	Instance string
 }
 
 // AttemptHeaders is the content of the headers that are set for each attempt.
--- a/internal/metrics/reason.go
+++ b/internal/metrics/reason.go
@@ -13,7 +13,7 @@
 	"no-backend-server", "no-idempotency-holder", "no-caller-key", "no-key", "no-lease", "no-owner", "not-gate", "not-ready",
 	"overloaded", "queue-full", "rate-exceeded", "result-unknown", "service-not-allowed", "shed", "stale-caller-keys", "too-many-idempotency-keys",
 	"unknown-caller-key", "unknown-service",
-	"attempts-used", "backend-refused", "backends-cold", "backends-full", "backends-limited", "backends-paused", "caller-key-unknown", "caller-left",
+	"address-of-vm", "attempts-used", "backend-refused", "backends-cold", "backends-full", "backends-limited", "backends-paused", "caller-key-unknown", "caller-left",
 	"configuration-stale", "key-missing", "no-backend", "no-configuration", "no-path", "no-route", "no-time", "not-owner", "not-sent",
 	"outcome-unknown", "owner-backends-cold", "owner-backends-full", "owner-backends-limited", "owner-backends-paused", "owner-no-backend", "owner-no-time", "retry-budget",
 	"quarantined", "service-unknown", "timeout", "vm-stops",
