Free keys for a restart only if both starts are known

If another program wrote an entry under the ID of an owner of keys, with all fields but the start of the process, the lease holder took it for the entry of a later process: it freed the keys of the owner at once and granted them to others while the owner still served them. The same happened in the other direction when the real entry followed, to keys that were assigned in between.

keylease.TestEntryWithoutStart failed before (a range was freed and assigned):

lessor_test.go:540: 2 != 0

Two starts prove two processes only if neither is missing; the test passes. A restart that no entry shows is still noticed by the lost connection of the grant. Where no entry states a start, nothing changes.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -375,7 +375,7 @@
 		case s.entry.Moving:
 		case !listed:
 			c.startMove(s, "", now, "owner gone")
-		case server.Started != s.entry.Started:
+		case differentStarts(server.Started, s.entry.Started):
 			c.startMove(s, "", now, "owner restarted")
 		case !server.Usable:
 			c.startMove(s, "", now, "owner leaves")
@@ -383,6 +383,10 @@
 	}
 }
 
+// differentStarts reports whether two entries are of different processes. One without a start,
+// as other programs may write it, says nothing.
+func differentStarts(a, b int64) bool { return a != b && a != 0 && b != 0 }
+
 // freeRange removes the owner of a range. leasedUntil is the latest time at which a
 // lease on the range may end; handover is passed on to the next owner.
 func (c *Core) freeRange(s *rangeState, handover string, leasedUntil, now time.Duration, reason string) {
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -516,6 +516,36 @@
 	}
 }
 
+// TestEntryWithoutStart guards against two owners of a key: an entry of an owner that lacks the
+// start of its process, as another program may write it, was taken for that of a later process,
+// so that its keys went to another backend server while the owner still served them.
+func TestEntryWithoutStart(t *testing.T) {
+	is := is.New(t)
+	core := NewCore("vm", nil, 0, 0, Predecessor{Resigned: true})
+	step := func(now time.Duration, started int64) {
+		a := Server{ID: "a", Address: "a", Started: started, Usable: true, Capacity: 1}
+		for _, call := range core.Step(now, Input{Weight: noWeight, Servers: map[string][]Server{"s": {a}}}) {
+			core.HandleResult(call, "", nil, now)
+		}
+		core.SetAccepted(core.Version())
+	}
+	now := time.Duration(0)
+	run := func(started int64) []Change {
+		for until := now + 3*time.Second; now < until; now += 100 * time.Millisecond {
+			step(now, started)
+		}
+		return core.TakeChanges()
+	}
+	is.Equal(run(0)[0].Kind, ChangeAssigned)
+	is.Equal(len(run(7)), 0) // the real entry of the process that got the keys
+	is.Equal(len(run(0)), 0)
+	core.freeRange(core.ranges["s"][0], "", 0, now, "")
+	is.Equal(run(7)[1].Kind, ChangeAssigned)
+	is.Equal(len(run(0)), 0)
+	is.Equal(len(run(7)), 0)
+	is.Equal(run(8)[0].Reason, "owner restarted")
+}
+
 // TestChangesAreLogged guards against an owner change that is not reported: to find out
 // why two servers served a key, one needs to know who got it when, and why.
 func TestChangesAreLogged(t *testing.T) {
