Forget catalogue entries that cannot be decoded once they are removed

The directory remembers the IDs of such entries, to log each once, and kept them after the entries had gone: its memory grew with each that came and went, and a later one under the same ID was not logged.

directory.TestOddEntryIsLoggedOnce failed before:

directory_test.go:204: 2 != 0

It passes now. The rest of the test held before: one line for an entry that is written again, and other backend servers stay listed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -341,6 +341,7 @@
 				d.removeBackend(id, now)
 			}
 		}
+		maps.DeleteFunc(d.undecodable, func(id string, _ bool) bool { return !seen[id] })
 	}
 	d.catalogueConfirmedAt = max(d.catalogueConfirmedAt, info.ConfirmedAt)
 	changed = d.removeExpired(now) || changed
@@ -376,6 +377,7 @@
 // newest cold start. The caller holds the lock.
 func (d *Directory) applyBackend(change BackendChange, now time.Duration, restored bool) {
 	if change.Removed {
+		delete(d.undecodable, change.ID)
 		d.removeBackend(change.ID, now)
 		return
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"fireflyfield/internal/clock"
 	"fireflyfield/internal/fleet"
@@ -169,3 +171,35 @@
 	deliver(f[0], BatchInfo{ConfirmedAt: fake.Time - time.Second})
 	is.Equal(d.ConfigAge(), time.Second)
 }
+
+// TestOddEntryIsLoggedOnce guards against a log line at each read of an entry that cannot be
+// decoded, against a backend server that stays listed beside it, and against a memory of such
+// entries that grows with each that comes and goes.
+func TestOddEntryIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	d, _, f := newTestDirectory()
+	core, lines := observer.New(zap.WarnLevel)
+	d.log = zap.New(core)
+	decode := d.sources.DecodeBackend
+	d.sources.DecodeBackend = func(r sharedlog.Record) BackendChange {
+		if string(r.Value) == "odd" {
+			return BackendChange{ID: r.Key, Err: errors.New("odd")}
+		}
+		return decode(r)
+	}
+	deliver(f[1], BatchInfo{Snapshot: true}, record("b", "n"), record("c", "odd"), record("d", "n"))
+	for range 3 {
+		deliver(f[1], BatchInfo{}, record("c", "odd"), record("b", "n"))
+	}
+	is.Equal(len(d.View().Backends), 2)
+	is.Equal(lines.Len(), 1)
+	deliver(f[1], BatchInfo{}, record("b", "odd"))
+	is.Equal(len(d.View().Backends), 1)
+	is.Equal(lines.Len(), 2)
+	deliver(f[1], BatchInfo{}, record("b", "n"), record("c", "n"))
+	is.Equal(len(d.View().Backends), 3)
+	deliver(f[1], BatchInfo{}, record("c", "odd"), record("c", ""), record("e", "odd"))
+	deliver(f[1], BatchInfo{Snapshot: true}, record("b", "n"))
+	is.Equal(lines.Len(), 4)
+	is.Equal(len(d.undecodable), 0)
+}
