Ignore a late catalogue entry of an earlier process of a backend server

A backend server that starts again under its ID states a later start. An entry of its earlier process that arrives after that, or one of another writer without a start, made it count as restarted twice: its keys moved away, and its connections, cold period and load were started anew.

The entry is ignored, unless the next one has the same start: then the clock of the backend server was set back, and its process publishes that start from now on. TestLateEntryOfEarlierProcess failed before (start 3 instead of 5) and passes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -128,6 +128,9 @@
 	// retainedUntil is the time until which an evacuation that a restored copy of the log
 	// lacks stays in force, by failure domain.
 	retainedUntil map[string]time.Duration
+	// late are the starts of the last entries that were ignored because they seemed to be of an
+	// earlier process, by backend server ID.
+	late map[string]int64
 	// departed are the times at which backend servers were removed.
 	departed map[fleet.ProcessID]time.Duration
 	// catalogueConfirmedAt is a time at which the known catalogue was the newest one.
@@ -157,7 +160,7 @@
 	d := &Directory{
 		clock: c, log: log, sources: sources,
 		evacuated: make(map[string]bool), backends: make(map[string]Backend), undecodable: make(map[string]bool),
-		retainedUntil: make(map[string]time.Duration), departed: make(map[fleet.ProcessID]time.Duration),
+		retainedUntil: make(map[string]time.Duration), departed: make(map[fleet.ProcessID]time.Duration), late: make(map[string]int64),
 	}
 	d.confirmedAt.Store(int64(-time.Hour))
 	signal := make(chan struct{})
@@ -392,6 +395,9 @@
 	delete(d.undecodable, change.ID)
 	delete(d.departed, change.Backend.Process())
 	known, ok := d.backends[change.ID]
+	if ok && !restored && d.isLate(&known, &change) {
+		return
+	}
 	next := Backend{Backend: change.Backend, Updated: now}
 	if change.Backend.ColdRemaining > 0 {
 		next.ColdUntil = now + change.Backend.ColdRemaining + coldMargin
@@ -407,6 +413,21 @@
 	}
 }
 
+// isLate reports whether an entry seems to be one of an earlier process than the known one, which
+// arrived late. A second one with the same start is not late: the clock of the backend server was
+// set back before it started again. The caller holds the lock.
+func (d *Directory) isLate(known *Backend, change *BackendChange) bool {
+	started := change.Backend.Started
+	if before, again := d.late[change.ID]; started >= known.Started || again && before == started {
+		delete(d.late, change.ID)
+		return false
+	}
+	d.late[change.ID] = started
+	d.log.Info("late entry of an earlier process ignored", zap.String("backend", change.ID),
+		zap.Int64("started", started), zap.Int64("known", known.Started))
+	return true
+}
+
 // removeBackend removes a backend server from the list, or sets when it expires if its
 // entry was removed around an outage of the shared log. The caller holds the lock.
 func (d *Directory) removeBackend(id string, now time.Duration) {
@@ -426,6 +447,7 @@
 		return
 	}
 	delete(d.backends, id)
+	delete(d.late, id)
 	d.noteDeparted(&known, now)
 	d.log.Info("backend server gone", zap.String("backend", id), zap.String("service", known.Service))
 }
@@ -437,6 +459,7 @@
 	for id, backend := range d.backends {
 		if backend.ExpiresAt != 0 && now >= backend.ExpiresAt {
 			delete(d.backends, id)
+			delete(d.late, id)
 			d.noteDeparted(&backend, now)
 			d.log.Info("backend server gone after an outage of the shared log", zap.String("backend", id))
 			changed = true
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -203,3 +203,28 @@
 	is.Equal(lines.Len(), 4)
 	is.Equal(len(d.undecodable), 0)
 }
+
+// TestLateEntryOfEarlierProcess guards against a backend server that counts as restarted, and so
+// as cold and without keys, because an entry of its earlier process, or one without a start,
+// arrives late. A process whose clock was set back keeps publishing the lower start.
+func TestLateEntryOfEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	d, _, f := newTestDirectory()
+	d.sources.DecodeBackend = func(r sharedlog.Record) BackendChange {
+		return BackendChange{ID: r.Key, Backend: fleet.Backend{ID: r.Key, Started: int64(r.Value[0] - '0'), Draining: len(r.Value) > 1}}
+	}
+	deliver(f[1], BatchInfo{Snapshot: true})
+	for _, step := range []struct {
+		entry    string
+		started  int64
+		draining bool
+	}{
+		{"5", 5, false}, {"3+", 5, false}, {"5", 5, false}, {"0+", 5, false}, {"7", 7, false},
+		{"6", 7, false}, {"6+", 6, true}, {"8", 8, false},
+	} {
+		deliver(f[1], BatchInfo{}, record("b", step.entry))
+		b := d.View().Backends["b"]
+		is.Equal(b.Started, step.started)
+		is.Equal(b.Draining, step.draining)
+	}
+}
