Let keyed backend servers of the soak leave, restart under their ID and run slowly

- New checks: a key is given to a backend server while another works on it, or with a token that is not above that of another process.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -157,8 +157,9 @@
 
 // start starts a backend server with the given ID and a proxy in front of it.
 func (b *backend) start(id string) error {
-	server := &platformtest.Backend{ID: id, Sharded: b.service == "keyed", Slots: 4, WorkTime: 10 * time.Millisecond}
+	server := &platformtest.Backend{ID: id, Sharded: b.service == "keyed", Slots: 4, WorkTime: defaultWorkTime}
 	server.OnRun = func(run platformtest.Run) { b.soak.recordRun(b, run) }
+	server.OnGrant = func(g platformtest.AcceptedGrant) { b.soak.checkGrant(b, g) }
 	server.CrashesOn = func(run platformtest.Run) bool { return isCrashing(run.Path) }
 	server.OnCrash = func() {
 		b.soak.recordCrash()
@@ -185,6 +186,24 @@
 	return nil
 }
 
+// defaultWorkTime is how long requests run at a backend server that is not slow.
+const defaultWorkTime = 10 * time.Millisecond
+
+// leave makes the backend server publish that it leaves.
+func (b *backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running.Leave()
+}
+
+// restartProcess restarts the backend server under the same ID and address.
+func (b *backend) restartProcess(entryAfter time.Duration, oldAgain bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running.Restart(entryAfter, oldAgain)
+	b.proxy.Reset()
+}
+
 // currentBackend returns the stand-in that was started last.
 func (b *backend) currentBackend() *platformtest.Backend {
 	b.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -81,7 +81,8 @@
 	evacuated bool // whether the first failure domain is evacuated
 
 	mu             sync.Mutex
-	copies         []platformtest.Copy             // of the shared log, the newest last
+	copies         []platformtest.Copy // of the shared log, the newest last
+	tokens         tokenTable
 	runs           map[string]int                  // number of runs by request ID
 	sent           map[string]platformtest.Request // by request ID
 	answeredNotRun map[string]int                  // by request ID: status of an answer that guarantees that it has not run
@@ -128,6 +129,7 @@
 	var notices sync.WaitGroup
 	notices.Go(func() { s.injectNotices(restores) })
 	notices.Go(func() { s.injectCuts(restores) })
+	notices.Go(func() { s.injectKeyedFaults(restores) })
 	notices.Go(func() { s.sendCrashing(restores, s.randomCrashingPath(), crashingInterval) })
 	go s.injectRestores(restores)
 	s.injectFaults(ctx)
