Send a renewal only on the connection of its own grant

Cause: a session belongs to a target, and the target's start is that of the entry, which comes late. After a restart the renewal of one range fails, its new grant opens a connection to the new process, and the renewals of the other ranges follow on that connection with their old tokens.

A session knows the tokens that were accepted on it, and a renewal with another token fails as if the connection were lost. Merged ranges, whose token is new, are granted and not renewed.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -134,13 +134,14 @@
 	uncertainFence   int64
 	// confirmSent is set once a moving range was granted to its owner with a token above
 	// uncertainFence.
-	confirmSent bool
-	nextCall    time.Duration
-	inFlight    bool
-	granted     bool   // the owner accepted a grant; further ones are renewals
-	handover    string // returned by the last owner's release, for the next owner
-	target      string // planned next owner
-	replaced    bool   // by a split or a merge
+	confirmSent   bool
+	nextCall      time.Duration
+	inFlight      bool
+	granted       bool   // the owner accepted a grant of the range
+	acceptedFence int64  // token of the grant that the owner accepted last; with it, further ones are renewals
+	handover      string // returned by the last owner's release, for the next owner
+	target        string // planned next owner
+	replaced      bool   // by a split or a merge
 }
 
 // Core decides on grants, releases and moves of key ranges. It does no I/O; the caller
@@ -623,7 +624,7 @@
 	}
 	call.Grant.Hold = RangeLeaseDuration
 	call.Grant.Handover = s.handover
-	call.Grant.Renewal = s.granted
+	call.Grant.Renewal = s.granted && s.acceptedFence == s.entry.Fence
 	return call
 }
 
@@ -710,7 +711,7 @@
 		// The range began to move while the call was in flight.
 		s.nextCall = now
 	case err == nil:
-		s.granted, s.handover = true, ""
+		s.granted, s.acceptedFence, s.handover = true, s.entry.Fence, ""
 		s.nextCall = now + RenewInterval
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrRejected):
 		if s.granted {
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -62,6 +62,7 @@
 	holder     *modelHolder
 	// predecessors have lost the lease; they run until it expires.
 	predecessors []*modelHolder
+	sessions     map[sessionKey]*modelSession
 	pending      []pendingCall
 	events       []string
 	fences       [keyrange.Parts]int64  // highest token with which a server held a part
@@ -75,6 +76,18 @@
 	at    time.Duration
 }
 
+// sessionKey identifies the session of a core with a target, and modelSession is the connection
+// to a process over which grants were accepted.
+type sessionKey struct {
+	core   *Core
+	target Target
+}
+
+type modelSession struct {
+	started int64
+	fences  map[int64]bool
+}
+
 // maxCopyAge is the age of the oldest copy from which the shared log is restored.
 const maxCopyAge = 10 * time.Second
 
@@ -110,9 +123,11 @@
 	lost       bool
 	applied    bool
 	err        error
-	// to is the process that receives the call, and toStarted the start of the process.
+	// to is the process that receives the call, and toStarted the start of the process that the
+	// call is sent to: the one at the address, or that of the session of a grant.
 	to        *modelServer
 	toStarted int64
+	session   *modelSession
 }
 
 const (
@@ -122,7 +137,7 @@
 )
 
 func newModel(t *testing.T, seed uint64) *model {
-	m := &model{t: t, random: rand.New(rand.NewPCG(seed, 1))}
+	m := &model{t: t, random: rand.New(rand.NewPCG(seed, 1)), sessions: make(map[sessionKey]*modelSession)}
 	for range 5 {
 		m.addServer()
 	}
@@ -228,6 +243,10 @@
 	if to != nil {
 		p.toStarted = to.started
 	}
+	if call.Kind == CallGrant && !m.useSession(&p) {
+		core.HandleResult(call, "", ErrSessionLost, m.now)
+		return
+	}
 	if !m.scripted && m.random.Float64() < 0.1 {
 		p.lost = true
 		p.answeredAt = m.now + 600*time.Millisecond
@@ -242,6 +261,34 @@
 	m.pending = append(m.pending, p)
 }
 
+// useSession sends a grant over the session of its target, or opens one. It returns false for a
+// renewal of a grant that was not accepted on the session.
+func (m *model) useSession(p *pendingCall) bool {
+	key := sessionKey{p.core, p.call.Target}
+	s := m.sessions[key]
+	if p.call.Grant.Renewal && (s == nil || !s.fences[p.call.Grant.Fence]) {
+		return false
+	}
+	switch {
+	case p.to == nil:
+	case s == nil:
+		s = &modelSession{started: p.toStarted, fences: make(map[int64]bool)}
+		m.sessions[key] = s
+	default:
+		p.toStarted = s.started
+	}
+	p.session = s
+	return true
+}
+
+// closeSession closes the session of a grant after a failure.
+func (m *model) closeSession(p *pendingCall) {
+	key := sessionKey{p.core, p.call.Target}
+	if m.sessions[key] == p.session {
+		delete(m.sessions, key)
+	}
+}
+
 func (m *model) deliver() {
 	for i := range m.pending {
 		p := &m.pending[i]
@@ -254,6 +301,11 @@
 			if p.lost {
 				err = fmt.Errorf("the response is lost")
 			}
+			if err != nil {
+				m.closeSession(p)
+			} else if p.session != nil {
+				p.session.fences[p.call.Grant.Fence] = true
+			}
 			p.core.HandleResult(p.call, "", err, m.now)
 			p.call.Target.Backend = "" // marks the call as answered
 		}
@@ -283,8 +335,6 @@
 		return fmt.Errorf("the process has ended")
 	case s.id != p.call.Target.Backend:
 		return ErrOtherInstance
-	case s.started != p.call.Target.Started && p.call.Grant.Renewal:
-		return ErrSessionLost
 	}
 	g := p.call.Grant
 	if p.call.Kind == CallRelease {
