Test that grants are sent only if their own record is in the log

readBack takes an append for accepted if any of its records is in the topic. After a failed append, and at the start of each lease, the list of members is recorded again, with the same bytes. If an append without an answer took effect and the next one, with a new assignment, finds that list, the new assignment counts as recorded: its grants are sent, and it is not appended again before the next change. A successor grants the ranges to their recorded owners, while the new owner holds them.

--- /dev/null
+++ b/internal/keylease/readback_test.go
@@ -0,0 +1,76 @@
+package keylease
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/sharedlog"
+)
+
+// unansweredLog is a shared log that executes the first append of a lease holder, but answers
+// neither it nor the read after it.
+type unansweredLog struct {
+	*memoryLog
+	failures int
+}
+
+func (l *unansweredLog) Append(ctx context.Context, topic string, records []sharedlog.Record, expectedEnd sharedlog.Position) (sharedlog.Position, error) {
+	end, err := l.memoryLog.Append(ctx, topic, records, expectedEnd)
+	if l.failures > 0 {
+		return sharedlog.Position{}, errUnreachable
+	}
+	return end, err
+}
+
+func (l *unansweredLog) Read(ctx context.Context, topic string, from sharedlog.Position, wait time.Duration) (sharedlog.Batch, error) {
+	if l.failures > 0 {
+		l.failures--
+		return sharedlog.Batch{}, errUnreachable
+	}
+	return l.memoryLog.Read(ctx, topic, from, wait)
+}
+
+// newUnansweredHolder returns a lessor that holds the assignment lease, and whose next append takes
+// effect without an answer.
+func newUnansweredHolder(fake *clock.Fake) (*Lessor, *unansweredLog) {
+	log := &unansweredLog{memoryLog: &memoryLog{}, failures: 1}
+	heartbeat := byte(0)
+	l := NewLessor(LessorOptions{
+		Log: log, Clock: fake, Table: NewTable(zap.NewNop()), Instance: "first", Address: "first", Logger: zap.NewNop(),
+		Notices: func() ([]byte, []byte) {
+			heartbeat++
+			return []byte{heartbeat}, []byte("same members")
+		},
+		OnHeartbeat: func([]byte) {}, OnMembers: func([]byte) {}, OnLeaseChange: func(bool) {},
+	})
+	l.appendResults = make(chan appendResult, 1)
+	l.lease = &leaseState{core: NewCore("first", nil, 0, fake.Now(), Predecessor{Resigned: true}), renewedAt: fake.Now()}
+	return l, log
+}
+
+// TestMembersOfEarlierAppend guards against grants that are sent although the log has no record of
+// them, because the read after a failed append finds the same list of members of an earlier append.
+func TestMembersOfEarlierAppend(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	l, log := newUnansweredHolder(fake)
+	l.appendState(t.Context(), fake.Now())
+	l.finishAppend(<-l.appendResults)
+	size := log.size()
+	fake.Time += 1500 * time.Millisecond
+	in := Input{Weight: noWeight, Servers: map[string][]Server{"s": {{ID: "b", Address: "a", Started: 1, Usable: true, Capacity: 1}}}}
+	l.lease.core.Step(fake.Now(), in)
+	l.lease.core.Step(fake.Now()+newServiceDelay, in)
+	is.Equal(len(l.lease.core.State().Services["s"]), 1) // a range is assigned
+	l.appendState(t.Context(), fake.Now())
+	l.finishAppend(<-l.appendResults)
+	is.Equal(log.size(), size) // the assignment is not recorded
+	if calls := l.lease.core.Step(fake.Now()+newServiceDelay, in); len(calls) > 0 {
+		t.Errorf("%d grants are sent that are not recorded", len(calls))
+	}
+}
