Test that a holder counts its lease from the append that took effect

An append without an answer takes effect at t. The next one, sent up to 1.45 s later or more (timeout and retry interval), fails since the end has moved, and its read finds the records of the first. readBack reports success and the lease counts from the second append. Other VMs count from the arrival of the record at t.

keylease.TestRecordOfEarlierAppend: readback_test.go:72: the lease counts from 1.5s after the only record

--- a/internal/keylease/readback_test.go
+++ b/internal/keylease/readback_test.go
@@ -53,6 +53,26 @@
 	return l, log
 }
 
+// TestRecordOfEarlierAppend guards against a lease holder that counts its lease from the append
+// whose read finds the record of an earlier one: other VMs count it from that record, and give
+// keys on while the holder still renews leases.
+func TestRecordOfEarlierAppend(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	l, log := newUnansweredHolder(fake)
+	recordedAt := fake.Now()
+	l.appendState(t.Context(), fake.Now())
+	l.finishAppend(<-l.appendResults)
+	size := log.size()
+	fake.Time += 1500 * time.Millisecond // timeout of the append and appendRetryInterval
+	l.appendState(t.Context(), fake.Now())
+	l.finishAppend(<-l.appendResults)
+	is.Equal(log.size(), size) // the log has no newer record
+	if l.lease.renewedAt > recordedAt {
+		t.Errorf("the lease counts from %s after the only record", l.lease.renewedAt-recordedAt)
+	}
+}
+
 // TestMembersOfEarlierAppend guards against grants that are sent although the log has no record of
 // them, because the read after a failed append finds the same list of members of an earlier append.
 func TestMembersOfEarlierAppend(t *testing.T) {
