Test two changes of the lease holder within a second

A VM that claims the lease asks how long its immediate predecessor may send calls. If that one took the lease from a silent holder 0.1 s ago, and was killed and replaced at its address, gave the lease up, or was the claiming VM itself, whose claim had no answer, only calls in flight count (0.7 s). The silent holder, which is cut off from the log, sends calls for up to 1.3 s more.

--- /dev/null
+++ b/internal/keylease/chain_test.go
@@ -0,0 +1,65 @@
+package keylease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"fireflyfield/internal/clock"
+	"fireflyfield/internal/keyrange"
+	"fireflyfield/internal/sharedlog"
+)
+
+// TestCallsOfEarlierHolder guards against a VM that claims the assignment lease shortly after
+// another VM took it from a silent holder, and does not count the calls of the silent one: it may
+// renew leases until the lease of its own last record has ended.
+func TestCallsOfEarlierHolder(t *testing.T) {
+	entries := []keyrange.Entry{{Range: keyrange.Range{Last: keyrange.MaxKey}, Backend: "b", Address: "b", Started: 1, Fence: 1}}
+	for name, second := range map[string]keyrange.Assignment{
+		"the second holder has ended":      {Holder: "second", Address: "third"},
+		"the second holder gave it up":     {Unconfirmed: true},
+		"the claim was its own":            {Holder: "third", Address: "third"},
+		"the second holder is silent, too": {Holder: "second", Address: "second"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fake := &clock.Fake{Time: time.Minute}
+			table := NewTable(zap.NewNop())
+			record := func(offset int64, a keyrange.Assignment) {
+				a.Services = map[string][]keyrange.Entry{"s": entries}
+				content, err := a.Encode()
+				is.NoErr(err)
+				table.apply(sharedlog.Batch{
+					Records: []sharedlog.Record{{Key: keyAssignment, Value: content, Offset: offset}}, Next: offset + 1,
+				}, fake.Now(), fake.Now())
+			}
+			record(0, keyrange.Assignment{Holder: "first", Address: "first"})
+			renewsUntil := fake.Now() + AssignmentLeaseDuration
+			fake.Time += ClaimAfter
+			record(1, second)
+			fake.Time += 100 * time.Millisecond
+			l := NewLessor(LessorOptions{Clock: fake, Table: table, Instance: "third", Address: "third", Logger: zap.NewNop()})
+			if until := l.predecessor(table.Current(), fake.Now()).CallsUntil; until < renewsUntil {
+				t.Errorf("calls are counted for another %s, the first holder sends them for %s", until-fake.Now(), renewsUntil-fake.Now())
+			}
+		})
+	}
+}
+
+// TestTwoTakeovers guards against a range that is given on after two changes of the lease holder
+// within a second, while the first holder, which is cut off from the log, still renews its lease.
+func TestTwoTakeovers(t *testing.T) {
+	for cutAfter := time.Duration(0); cutAfter < RenewInterval; cutAfter += 100 * time.Millisecond {
+		m := newScriptedModel(t)
+		m.runFor(cutAfter)
+		m.cutHolder()
+		m.runFor(ClaimAfter - modelStep)
+		m.changeHolder()
+		m.holder.cutAt, m.holder.renewedAt = m.now, 0                  // killed before its first call
+		m.replaceHolder(Predecessor{CallsUntil: m.now + grantTimeout}) // a process at its address
+		m.holder.unreachable, m.servers[0].usable = m.servers[0], false
+		m.runFor(8 * time.Second)
+	}
+}
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -108,6 +108,8 @@
 	// renewedAt is when the log last accepted a record of it. It sends calls until
 	// AssignmentLeaseDuration later.
 	renewedAt time.Duration
+	// unreachable is a server that its calls do not reach; nil for none.
+	unreachable *modelServer
 }
 
 // maxCatalogueLag bounds how long a change of the catalogue takes to reach a VM.
@@ -227,7 +229,7 @@
 		return
 	}
 	for _, call := range h.core.Step(m.now, m.input(h)) {
-		m.send(h.core, call)
+		m.send(h, call)
 	}
 	if h.cutAt == 0 && (m.scripted || m.random.Float64() < 0.8) {
 		h.renewedAt = m.now
@@ -237,14 +239,17 @@
 	}
 }
 
-func (m *model) send(core *Core, call Call) {
+func (m *model) send(h *modelHolder, call Call) {
 	to := m.serverAt(call.Target.Address)
-	p := pendingCall{core: core, call: call, to: to, arrivesAt: m.now, appliesAt: m.now + modelStep, answeredAt: m.now + 2*modelStep}
+	if to == h.unreachable {
+		to = nil
+	}
+	p := pendingCall{core: h.core, call: call, to: to, arrivesAt: m.now, appliesAt: m.now + modelStep, answeredAt: m.now + 2*modelStep}
 	if to != nil {
 		p.toStarted = to.started
 	}
 	if call.Kind == CallGrant && !m.useSession(&p) {
-		core.HandleResult(call, "", ErrSessionLost, m.now)
+		h.core.HandleResult(call, "", ErrSessionLost, m.now)
 		return
 	}
 	if !m.scripted && m.random.Float64() < 0.1 {
@@ -519,8 +524,13 @@
 	if m.holder.cutAt == 0 {
 		m.holder.cutAt = m.now
 	}
+	m.replaceHolder(Predecessor{CallsUntil: m.holder.renewedAt + AssignmentLeaseDuration + grantTimeout})
+}
+
+// replaceHolder gives the assignment lease to a VM that knows p of the present holder.
+func (m *model) replaceHolder(p Predecessor) {
 	m.predecessors = append(m.predecessors, m.holder)
-	core := NewCore("vm", m.record.Clone(), m.era, m.now, Predecessor{CallsUntil: m.holder.renewedAt + AssignmentLeaseDuration + grantTimeout})
+	core := NewCore("vm", m.record.Clone(), m.era, m.now, p)
 	m.record = core.State().Clone()
 	m.history = append(m.history, acceptedRecord{m.record, m.now})
 	m.holder = &modelHolder{
