--- a/internal/keylease/chain_test.go
+++ b/internal/keylease/chain_test.go
@@ -63,3 +63,17 @@
 		m.runFor(8 * time.Second)
 	}
 }
+
+// TestNewServiceAfterRestore guards against keys that are assigned anew in a restored log which
+// lacks their ranges, while a lease by a call of the last holder may still run.
+func TestNewServiceAfterRestore(t *testing.T) {
+	const last = AssignmentLeaseDuration + grantTimeout // of the last call's arrival
+	c := NewCore("vm", &keyrange.Assignment{}, 1, 0, Predecessor{Resigned: true})
+	in := Input{Weight: noWeight, Servers: map[string][]Server{"s": {{ID: "a", Address: "a", Usable: true, Capacity: 1}}}}
+	for now := time.Duration(0); now < last+RangeLeaseDuration+RangeLeaseDuration/50; now += 50 * time.Millisecond {
+		for _, call := range c.Step(now, in) {
+			t.Fatalf("range %s is granted after %s", call.Grant.Range, now)
+		}
+		c.SetAccepted(c.Version())
+	}
+}
