Test a call of a VM that is suspended after it gave up the lease

A VM without paths gives the assignment lease up with calls in flight.

keylease.TestCallAfterAbandonment: chain_test.go:113: the call may be sent for 2.9s, its successor counts 700ms

--- a/internal/keylease/chain_test.go
+++ b/internal/keylease/chain_test.go
@@ -1,6 +1,7 @@
 package keylease
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -77,3 +78,38 @@
 		c.SetAccepted(c.Version())
 	}
 }
+
+// grantFunc is a Granter that passes on grants.
+type grantFunc func(Grant) error
+
+func (f grantFunc) Grant(_ context.Context, _ Target, g Grant) error { return f(g) }
+
+func (grantFunc) Release(context.Context, Target, Grant) (string, error) { return "", nil }
+
+// TestCallAfterAbandonment guards against a call of a VM that gave up the assignment lease, sent
+// after the time from which its successor counts it as impossible, because the VM was suspended
+// beside the decision to make it: timers stop then, only the limit of the call does not.
+func TestCallAfterAbandonment(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	sent := make(chan Grant, 1)
+	log := &memoryLog{}
+	l := NewLessor(LessorOptions{
+		Log: log, Topic: "lease", Clock: fake, Table: NewTable(zap.NewNop()), Instance: "first", Address: "first", Logger: zap.NewNop(),
+		Granter: grantFunc(func(g Grant) error { sent <- g; return nil }), OnLeaseChange: func(bool) {},
+	})
+	l.results = make(chan callResult, 1)
+	l.lease = &leaseState{core: NewCore("first", nil, 0, fake.Now(), Predecessor{Resigned: true}), renewedAt: fake.Now()}
+	fake.Time += 100 * time.Millisecond
+	l.sendCall(t.Context(), Call{Kind: CallGrant})
+	l.abandon(t.Context())
+	successor := NewTable(zap.NewNop())
+	batch, err := log.Newest(t.Context(), "lease")
+	is.NoErr(err)
+	successor.apply(batch, fake.Now(), fake.Now())
+	second := NewLessor(LessorOptions{Clock: fake, Table: successor, Instance: "second", Address: "second", Logger: zap.NewNop()})
+	until := second.predecessor(successor.Current(), fake.Now()).CallsUntil
+	if sendBy := (<-sent).SendBy; sendBy > until {
+		t.Errorf("the call may be sent for %s, its successor counts %s", sendBy-fake.Now(), until-fake.Now())
+	}
+}
