Take an append for executed only if all its records are in the log

Cause: the read after an append without an answer took the append for executed if any one of its records was found. The list of members is recorded with the same bytes again and again, so an earlier append at the same position counted for a later one: grants were sent that the log does not have, and the lease counted from the later append.

Evidence: TestMembersOfEarlierAppend (1 grant was sent that is not recorded) and TestRecordOfEarlierAppend (the lease counted from 1.5 s after the only record) failed before and pass.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -535,7 +535,6 @@
 		return
 	}
 	a.newEnd = batch.NextPosition()
-	applied := false
 	for _, record := range batch.Records {
 		if record.Key == keyAssignment {
 			assignment, err := keyrange.Decode(record.Value)
@@ -545,10 +544,12 @@
 			}
 			a.overwritten = err != nil
 		}
-		applied = applied || slices.ContainsFunc(a.records, func(r sharedlog.Record) bool {
-			return r.Key == record.Key && bytes.Equal(r.Value, record.Value)
-		})
 	}
+	// An earlier append at the same position may have records in common with this one.
+	applied := len(batch.Records) >= len(a.records) &&
+		slices.EqualFunc(batch.Records[:len(a.records)], a.records, func(x, y sharedlog.Record) bool {
+			return x.Key == y.Key && bytes.Equal(x.Value, y.Value)
+		})
 	if applied {
 		a.err = nil
 	}
