Count a lease from the first append that may have made its record

As, for appends with equal records: two heartbeats with the same contents, or two claims. If the first had no answer, the read after the second finds its record, and the lease counted from the second, up to 1.5 s too late.

Evidence: TestRecordOfEarlierAppend with the same heartbeat and TestRecordOfEarlierClaim failed before (1.5 s) and pass.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -110,11 +110,13 @@
 	results       chan callResult
 	appendResults chan appendResult
 	claiming      bool // the append of a claim is in flight
-	stopping      chan struct{}
-	stopped       chan struct{}
-	vacantSince   time.Duration // when this VM noticed that no VM holds the lease; 0 otherwise
-	follower      *directory.Follower
-	logLimit      *linelimit.Limiter
+	// unansweredClaims are those since this VM held the lease last.
+	unansweredClaims unansweredAppends
+	stopping         chan struct{}
+	stopped          chan struct{}
+	vacantSince      time.Duration // when this VM noticed that no VM holds the lease; 0 otherwise
+	follower         *directory.Follower
+	logLimit         *linelimit.Limiter
 	// paused is set while the topic is not read; its channel is closed when reads resume.
 	paused atomic.Pointer[chan struct{}]
 	// lostAt is the position after the record by which another VM acquired the lease.
@@ -136,6 +138,7 @@
 	core            *Core
 	topicEnd        sharedlog.Position // position after the newest record of the topic
 	renewedAt       time.Duration      // send time of the last accepted append
+	unanswered      unansweredAppends
 	appending       bool
 	nextHeartbeat   time.Duration
 	nextAppend      time.Duration
@@ -162,12 +165,34 @@
 	claimed             *Core
 	reclaim             bool
 	overwritten         bool
+	readBack            bool // the append had no answer, and its records were found by a read
 	sentAt              time.Duration
 	records             []sharedlog.Record
 	expectedEnd, newEnd sharedlog.Position
 	err                 error
 }
 
+// unansweredAppends has the send time of the first append without an answer since the last
+// accepted one; 0 for none. The records that a read finds for a later append may be of that one.
+type unansweredAppends struct{ first time.Duration }
+
+// add notes a failed append.
+func (u *unansweredAppends) add(a *appendResult) {
+	if u.first == 0 {
+		u.first = a.sentAt
+	}
+}
+
+// sentAt returns the earliest time at which the records of an accepted append may have been sent.
+func (u *unansweredAppends) sentAt(a *appendResult) time.Duration {
+	sentAt := a.sentAt
+	if a.readBack && u.first != 0 {
+		sentAt = min(sentAt, u.first)
+	}
+	u.first = 0
+	return sentAt
+}
+
 // Run runs the lessor until ctx ends. Call Stop before to resign the lease.
 func (l *Lessor) Run(ctx context.Context) {
 	l.results = make(chan callResult, 64)
@@ -551,7 +576,7 @@
 			return x.Key == y.Key && bytes.Equal(x.Value, y.Value)
 		})
 	if applied {
-		a.err = nil
+		a.err, a.readBack = nil, true
 	}
 }
 
@@ -571,7 +596,7 @@
 	}
 	switch {
 	case a.err == nil:
-		lease.topicEnd, lease.renewedAt = a.newEnd, a.sentAt
+		lease.topicEnd, lease.renewedAt = a.newEnd, lease.unanswered.sentAt(&a)
 		lease.core.SetAccepted(a.version)
 		l.applyAppended(a)
 	case errors.Is(a.err, errNotHolder):
@@ -584,6 +609,7 @@
 		if errors.Is(a.err, sharedlog.ErrRestored) || errors.Is(a.err, sharedlog.ErrTrimmed) {
 			l.setPaused(false) // reclaim follows once the restored topic is read
 		}
+		lease.unanswered.add(&a)
 		lease.nextAppend = l.Clock.Now() + appendRetryInterval
 		lease.nextHeartbeat, lease.recordedMembers = 0, nil
 		l.Logger.Warn("append to the shared log failed", logfield.Error(a.err), zap.Duration("unconfirmed", l.Clock.Now()-lease.renewedAt))
@@ -697,10 +723,11 @@
 func (l *Lessor) finishClaim(a appendResult) {
 	l.claiming = false
 	if a.err != nil {
+		l.unansweredClaims.add(&a)
 		l.Logger.Info("claim of the assignment lease failed", logfield.Error(a.err))
 		return
 	}
-	l.lease = &leaseState{core: a.claimed, topicEnd: a.newEnd, renewedAt: a.sentAt}
+	l.lease = &leaseState{core: a.claimed, topicEnd: a.newEnd, renewedAt: l.unansweredClaims.sentAt(&a)}
 	if a.overwritten {
 		l.lease.core.Overwritten()
 	}
--- a/internal/keylease/readback_test.go
+++ b/internal/keylease/readback_test.go
@@ -57,20 +57,44 @@
 // whose read finds the record of an earlier one: other VMs count it from that record, and give
 // keys on while the holder still renews leases.
 func TestRecordOfEarlierAppend(t *testing.T) {
+	for name, same := range map[string]bool{"other heartbeat": false, "same heartbeat": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fake := &clock.Fake{Time: time.Minute}
+			l, log := newUnansweredHolder(fake)
+			if same {
+				l.Notices = func() ([]byte, []byte) { return []byte("same heartbeat"), []byte("same members") }
+			}
+			recordedAt := fake.Now()
+			l.appendState(t.Context(), fake.Now())
+			l.finishAppend(<-l.appendResults)
+			size := log.size()
+			fake.Time += 1500 * time.Millisecond // timeout of the append and appendRetryInterval
+			l.appendState(t.Context(), fake.Now())
+			l.finishAppend(<-l.appendResults)
+			is.Equal(log.size(), size) // the log has no newer record
+			if l.lease.renewedAt > recordedAt {
+				t.Errorf("the lease counts from %s after the only record", l.lease.renewedAt-recordedAt)
+			}
+		})
+	}
+}
+
+// TestRecordOfEarlierClaim guards against the same for a claim.
+func TestRecordOfEarlierClaim(t *testing.T) {
 	is := is.New(t)
 	fake := &clock.Fake{Time: time.Minute}
 	l, log := newUnansweredHolder(fake)
-	recordedAt := fake.Now()
-	l.appendState(t.Context(), fake.Now())
-	l.finishAppend(<-l.appendResults)
-	size := log.size()
-	fake.Time += 1500 * time.Millisecond // timeout of the append and appendRetryInterval
-	l.appendState(t.Context(), fake.Now())
-	l.finishAppend(<-l.appendResults)
-	is.Equal(log.size(), size) // the log has no newer record
-	if l.lease.renewedAt > recordedAt {
-		t.Errorf("the lease counts from %s after the only record", l.lease.renewedAt-recordedAt)
+	l.lease = nil
+	l.ConfigKnown, l.Preferred = func() bool { return true }, func() bool { return true }
+	claimedAt := fake.Now()
+	for range 2 {
+		l.claim(t.Context(), nil, sharedlog.Position{}, fake.Now())
+		l.finishClaim(<-l.appendResults)
+		fake.Time += 1500 * time.Millisecond
 	}
+	is.Equal(log.size(), 1)
+	is.Equal(l.lease.renewedAt, claimedAt)
 }
 
 // TestMembersOfEarlierAppend guards against grants that are sent although the log has no record of
