Count the calls of all earlier lease holders after a takeover

Cause: a VM that claims the assignment lease counted the calls of the last holder only. When that one had just taken the lease from a holder that is cut off from the log, and was killed, gave the lease up or was the claimant's own claim without an answer, the first one could still renew leases for a second after the new holder took ranges for free.

Each VM now remembers until when earlier holders may call, from the records that it has seen, and the holder states it in its records for VMs that start later. A record of a program that does not state it counts as for the longest time.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -153,6 +153,9 @@
 	ranges   map[string][]*rangeState
 	version  int64 // of the newest state; grows with each change
 	accepted int64 // newest version that the shared log accepted
+	// earlierCallsUntil is the latest time at which a call of an earlier lease holder may reach a
+	// backend server.
+	earlierCallsUntil time.Duration
 	// settledFrom is the time from which ranges are moved for balance and merged.
 	settledFrom time.Duration
 	lastBalance map[string]time.Duration
@@ -186,7 +189,8 @@
 type Predecessor struct {
 	// Resigned is set if the holder had ended all its calls before it gave up the lease.
 	Resigned bool
-	// CallsUntil is the latest time at which a call of the holder may reach a backend server.
+	// CallsUntil is the latest time at which a call of the holder, or of one before it, may reach a
+	// backend server.
 	CallsUntil time.Duration
 }
 
@@ -215,6 +219,7 @@
 	if restored { // other VMs may have held the lease in the part of the log that is lost
 		p = Predecessor{CallsUntil: now + AssignmentLeaseDuration + grantTimeout}
 	}
+	c.earlierCallsUntil = p.CallsUntil
 	leasedUntil := p.CallsUntil + RangeLeaseDuration + holdMargin
 	uncertainUntil := leasedUntil // the predecessor may renew a lease that its owner has released
 	if p.Resigned {
@@ -269,6 +274,9 @@
 	return a
 }
 
+// EarlierCalls returns for how long calls of earlier lease holders may still reach backend servers.
+func (c *Core) EarlierCalls(now time.Duration) time.Duration { return max(0, c.earlierCallsUntil-now) }
+
 // Version returns the version of the newest state; it grows with each change.
 func (c *Core) Version() int64 { return c.version }
 
--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -530,6 +530,7 @@
 // replaceHolder gives the assignment lease to a VM that knows p of the present holder.
 func (m *model) replaceHolder(p Predecessor) {
 	m.predecessors = append(m.predecessors, m.holder)
+	p.CallsUntil = max(p.CallsUntil, m.now+m.holder.core.EarlierCalls(m.now)) // as its record states
 	core := NewCore("vm", m.record.Clone(), m.era, m.now, p)
 	m.record = core.State().Clone()
 	m.history = append(m.history, acceptedRecord{m.record, m.now})
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -500,9 +500,7 @@
 	lease := l.lease
 	var records []sharedlog.Record
 	if version > lease.core.accepted {
-		state := lease.core.State()
-		state.Address = l.Address
-		record, ok := l.assignmentRecord("assignment", state)
+		record, ok := l.assignmentRecord("assignment", l.state(lease.core))
 		if !ok {
 			return nil, false
 		}
@@ -520,6 +518,13 @@
 	return records, true
 }
 
+// state returns the assignment of a core as this VM records it now.
+func (l *Lessor) state(core *Core) *keyrange.Assignment {
+	state := core.State()
+	state.Address, state.EarlierCalls = l.Address, core.EarlierCalls(l.Clock.Now())
+	return state
+}
+
 // assignmentRecord returns the record of an assignment, or logs an error and returns
 // false if it cannot be encoded. what names the record in the log line.
 func (l *Lessor) assignmentRecord(what string, state *keyrange.Assignment) (sharedlog.Record, bool) {
@@ -691,9 +696,7 @@
 		current = &keyrange.Assignment{} // the record may be lost, in a restored log
 	}
 	core := NewCore(l.Instance, current, expectedEnd.Era, now, last)
-	state := core.State()
-	state.Address = l.Address
-	record, ok := l.assignmentRecord("claim", state)
+	record, ok := l.assignmentRecord("claim", l.state(core))
 	if !ok {
 		return
 	}
@@ -703,20 +706,21 @@
 	l.append(ctx, nil, []sharedlog.Record{record}, expectedEnd, appendResult{claimed: core, sentAt: now})
 }
 
-// predecessor returns what is known of the last holder of the lease. A holder that falls silent
-// wrote its last record before that arrived here, and sends no call once the lease of that record
-// has ended.
+// predecessor returns what is known of the last holder of the lease, and of those before it. A
+// holder that falls silent wrote its last record before that arrived here, and sends no call once
+// the lease of that record has ended.
 func (l *Lessor) predecessor(current *keyrange.Assignment, now time.Duration) Predecessor {
 	lastRecordAt, _ := l.Table.recordAndReadTimes()
+	until := lastRecordAt + AssignmentLeaseDuration + grantTimeout
 	switch {
 	case current == nil || current.Holder == "" && !current.Unconfirmed:
 		return Predecessor{Resigned: true, CallsUntil: now}
 	case current.Holder == "": // it gave up the lease with calls in flight
-		return Predecessor{CallsUntil: lastRecordAt + grantTimeout}
+		until = lastRecordAt + grantTimeout
 	case current.Address == l.Address: // its process has ended
-		return Predecessor{CallsUntil: now + grantTimeout}
+		until = now + grantTimeout
 	}
-	return Predecessor{CallsUntil: lastRecordAt + AssignmentLeaseDuration + grantTimeout}
+	return Predecessor{CallsUntil: max(until, l.Table.callsOfEarlierHolders())}
 }
 
 // finishClaim acquires the lease if the claim was accepted.
@@ -755,7 +759,7 @@
 	if lease.appending {
 		return
 	}
-	state := lease.core.State()
+	state := l.state(lease.core)
 	state.Holder, state.Unconfirmed = "", true
 	if record, ok := l.assignmentRecord("abandoned assignment", state); ok {
 		if _, err := l.Log.Append(ctx, l.Topic, []sharedlog.Record{record}, lease.topicEnd); err != nil {
--- a/internal/keylease/table.go
+++ b/internal/keylease/table.go
@@ -38,6 +38,9 @@
 	// lastRecordAt is when the newest record arrived; lastReadSentAt is when the last
 	// successful read was sent.
 	lastRecordAt, lastReadSentAt time.Duration
+	// earlierCallsUntil is the latest time at which a call of a lease holder before the recorded
+	// one may reach a backend server.
+	earlierCallsUntil time.Duration
 }
 
 // NewTable returns an empty table.
@@ -93,6 +96,7 @@
 			t.undecodable.Store(false)
 			restored = assignment.Era < batch.Era && t.current.Load() != nil
 			if !restored {
+				t.noteEarlierCalls(assignment, now)
 				t.set(assignment)
 			}
 		}
@@ -109,6 +113,40 @@
 	return n
 }
 
+// noteEarlierCalls updates earlierCallsUntil for a record that arrives now. What a record states
+// of earlier holders counts from its arrival, which is later than the record itself.
+func (t *Table) noteEarlierCalls(next *keyrange.Assignment, now time.Duration) {
+	last := t.current.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sameHolder := last != nil && last.Holder == next.Holder
+	stated := next.EarlierCalls
+	if stated == keyrange.UnknownCalls {
+		stated = 0
+		if !sameHolder {
+			stated = AssignmentLeaseDuration + grantTimeout
+		}
+	}
+	until := now + stated
+	switch {
+	case next.Holder == "" && !next.Unconfirmed: // resigned, so no earlier call can matter any more
+	case last == nil || last.Holder == "":
+	case sameHolder, next.Holder == "" && next.Address != "" && next.Address == last.Address: // or given up by it
+		until = max(until, t.earlierCallsUntil)
+	default:
+		until = max(until, t.earlierCallsUntil, t.lastRecordAt+AssignmentLeaseDuration+grantTimeout)
+	}
+	t.earlierCallsUntil = until
+}
+
+// callsOfEarlierHolders returns until when calls of lease holders before the recorded one may reach
+// backend servers.
+func (t *Table) callsOfEarlierHolders() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.earlierCallsUntil
+}
+
 // set replaces the assignment and closes the channel that Changed returned.
 func (t *Table) set(assignment *keyrange.Assignment) {
 	t.current.Store(assignment)
--- a/internal/keyrange/keyrange.go
+++ b/internal/keyrange/keyrange.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"strconv"
+	"time"
 )
 
 // MaxKey is the last key of a key space; the first is 0.
@@ -51,6 +52,9 @@
 	Moving bool
 }
 
+// UnknownCalls is the value of Assignment.EarlierCalls for an unknown time.
+const UnknownCalls = time.Duration(-1)
+
 // Assignment is the recorded state of all key spaces. The lease holder records a grant
 // in it before it sends the grant.
 type Assignment struct {
@@ -63,6 +67,9 @@
 	// Unconfirmed is set if the last lease holder gave up the assignment lease while its calls to
 	// backend servers may still have been in flight.
 	Unconfirmed bool
+	// EarlierCalls is for how long after the record calls of earlier lease holders may still reach
+	// backend servers; UnknownCalls if the program that wrote the record does not state it.
+	EarlierCalls time.Duration
 	// Services are the entries by service, sorted by range.
 	Services map[string][]Entry
 }
--- a/internal/keyrange/record.go
+++ b/internal/keyrange/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
@@ -20,9 +21,11 @@
 	Fence   int64  `cbor:"2,keyasint"`
 	Era     int64  `cbor:"7,keyasint,omitempty"`
 	// Unconfirmed is omitted by VMs that cannot give up the lease early.
-	Unconfirmed bool                     `cbor:"8,keyasint,omitempty"`
-	Owners      []recordOwner            `cbor:"5,keyasint,omitempty"`
-	Services    map[string][]recordEntry `cbor:"6,keyasint,omitempty"`
+	Unconfirmed bool `cbor:"8,keyasint,omitempty"`
+	// EarlierCallsMs is omitted by VMs that do not state it.
+	EarlierCallsMs *int64                   `cbor:"9,keyasint,omitempty"`
+	Owners         []recordOwner            `cbor:"5,keyasint,omitempty"`
+	Services       map[string][]recordEntry `cbor:"6,keyasint,omitempty"`
 }
 
 // recordOwner is a backend server process that owns ranges. It is encoded as an array,
@@ -52,6 +55,10 @@
 		Format: recordFormat, Holder: a.Holder, Address: a.Address, Fence: a.Fence, Era: a.Era, Unconfirmed: a.Unconfirmed,
 		Services: make(map[string][]recordEntry, len(a.Services)),
 	}
+	if a.EarlierCalls != UnknownCalls {
+		ms := (a.EarlierCalls + time.Millisecond - 1).Milliseconds()
+		r.EarlierCallsMs = &ms
+	}
 	ownerNumbers := make(map[recordOwner]int)
 	for service, entries := range a.Services {
 		if !coversKeySpace(entries) {
@@ -101,6 +108,17 @@
 	return errors.Wrapf(ErrOtherFormat, "decode assignment: format %d, want %d", r.Format, recordFormat)
 }
 
+// maxEarlierCalls is above all times that a VM states; another value is one of another program.
+const maxEarlierCalls = time.Minute
+
+// earlierCalls returns the time that the record states, or UnknownCalls.
+func (r *record) earlierCalls() time.Duration {
+	if r.EarlierCallsMs == nil || *r.EarlierCallsMs < 0 || *r.EarlierCallsMs > maxEarlierCalls.Milliseconds() {
+		return UnknownCalls
+	}
+	return time.Duration(*r.EarlierCallsMs) * time.Millisecond
+}
+
 // Decode parses an encoded record of an assignment. It fails with ErrOtherFormat if the
 // record has another format, and if its ranges don't cover a key space exactly once.
 func Decode(content []byte) (*Assignment, error) {
@@ -111,7 +129,10 @@
 	if err := cbor.Unmarshal(content, &r); err != nil {
 		return nil, errors.Wrap(err, "decode assignment")
 	}
-	a := &Assignment{Holder: r.Holder, Address: r.Address, Fence: r.Fence, Unconfirmed: r.Unconfirmed, Era: r.Era, Services: make(map[string][]Entry, len(r.Services))}
+	a := &Assignment{
+		Holder: r.Holder, Address: r.Address, Fence: r.Fence, Unconfirmed: r.Unconfirmed, Era: r.Era,
+		EarlierCalls: r.earlierCalls(), Services: make(map[string][]Entry, len(r.Services)),
+	}
 	for service, list := range r.Services {
 		entries := make([]Entry, len(list))
 		next := 0
--- a/internal/keyrange/record_test.go
+++ b/internal/keyrange/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
@@ -31,12 +32,15 @@
 func TestRecordRoundTrip(t *testing.T) {
 	is := is.New(t)
 	a := largeAssignment(1000)
-	content, err := a.Encode()
-	is.NoErr(err)
-	is.True(len(content) < 20_000)
-	decoded, err := Decode(content)
-	is.NoErr(err)
-	is.Equal(decoded, a)
+	for _, earlierCalls := range []time.Duration{0, 1700 * time.Millisecond, UnknownCalls} {
+		a.EarlierCalls = earlierCalls
+		content, err := a.Encode()
+		is.NoErr(err)
+		is.True(len(content) < 20_000)
+		decoded, err := Decode(content)
+		is.NoErr(err)
+		is.Equal(decoded, a)
+	}
 }
 
 // TestInvalidRecords guards against records that are accepted although they are
