Count calls in flight before keys without a recorded range are assigned

In a restored log a service without ranges may be one whose ranges are lost. Its keys were assigned 6.2 s after the claim, although leases by calls of the last holder are counted for 6.9 s elsewhere.

TestNewServiceAfterRestore failed before (granted after 6.3 s) and passes.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -226,7 +226,7 @@
 		uncertainUntil = now
 	}
 	if era > 0 {
-		c.newServicesFrom = now + AssignmentLeaseDuration + RangeLeaseDuration + holdMargin
+		c.newServicesFrom = now + AssignmentLeaseDuration + grantTimeout + RangeLeaseDuration + holdMargin
 	}
 	c.fence = max(c.fence, recorded.Fence)
 	for service, entries := range recorded.Services {
