Send a call of a given up lease no later than its successor expects

A VM that gives up the assignment lease, and is suspended before it sends a call that it had decided on, could send it until the end of its lease, 2.9 s later; its successor counts 0.7 s, the time in which a call has to be answered.

TestCallAfterAbandonment failed before and passes: a call may now be sent for 0.7 s from the decision, by the boot-time clock.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -457,11 +457,17 @@
 	}
 }
 
+// sendBy returns the time after which a call that is decided on now must not be sent. A VM that
+// gives up the lease, and is suspended before it sends a call, sends it no later than others expect.
+func sendBy(renewedAt, now time.Duration) time.Duration {
+	return min(now+grantTimeout, renewedAt+AssignmentLeaseDuration)
+}
+
 // sendCall makes a call to a backend server in the background and reports its result to
 // the loop.
 func (l *Lessor) sendCall(ctx context.Context, call Call) {
 	lease := l.lease
-	call.Grant.SendBy = lease.renewedAt + AssignmentLeaseDuration
+	call.Grant.SendBy = sendBy(lease.renewedAt, l.Clock.Now())
 	go func() {
 		r := callResult{call: call, lease: lease}
 		if call.Kind == CallRelease {
