Send no new grant once another VM may have claimed the assignment lease

Cause: a lease holder that is cut off from the log repeats a recorded grant that it could not send before. If the owner has started again under its ID meanwhile, the new process does not know the higher token by which a new holder made the release of the range final, and takes it.

Renewals, which keep to the connection of their grant and so to its process, are sent as before.

--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -229,6 +229,10 @@
 		return
 	}
 	for _, call := range h.core.Step(m.now, m.input(h)) {
+		if m.now > sendBy(&call, h.renewedAt, m.now) {
+			h.core.HandleResult(call, "", ErrNotSent, m.now)
+			continue
+		}
 		m.send(h, call)
 	}
 	if h.cutAt == 0 && (m.scripted || m.random.Float64() < 0.8) {
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -458,16 +458,22 @@
 }
 
 // sendBy returns the time after which a call that is decided on now must not be sent. A VM that
-// gives up the lease, and is suspended before it sends a call, sends it no later than others expect.
-func sendBy(renewedAt, now time.Duration) time.Duration {
-	return min(now+grantTimeout, renewedAt+AssignmentLeaseDuration)
+// gives up the lease, and is suspended before it sends a call, sends it no later than others
+// expect. A grant that is no renewal is not sent once another VM may have claimed the lease: it
+// may reach a process that started since, and does not know the tokens of the new holder.
+func sendBy(call *Call, renewedAt, now time.Duration) time.Duration {
+	validFor := AssignmentLeaseDuration
+	if call.Kind == CallGrant && !call.Grant.Renewal {
+		validFor = ClaimAfter
+	}
+	return min(now+grantTimeout, renewedAt+validFor)
 }
 
 // sendCall makes a call to a backend server in the background and reports its result to
 // the loop.
 func (l *Lessor) sendCall(ctx context.Context, call Call) {
 	lease := l.lease
-	call.Grant.SendBy = sendBy(lease.renewedAt, l.Clock.Now())
+	call.Grant.SendBy = sendBy(&call, lease.renewedAt, l.Clock.Now())
 	go func() {
 		r := callResult{call: call, lease: lease}
 		if call.Kind == CallRelease {
