Confirm a range before its release on a connection of its own

Before the release of a range with uncertain grants its owner is granted a higher token, and the acceptance makes the release final. On a kept connection the answer may be that of an earlier grant, written once more.

The grant before a release now has a connection of its own and a token that was never sent, and only its acceptance ends the uncertainty; one without an answer, as before, leaves the range waiting. TestAcceptanceOfEarlierGrant failed before for every grant; it now asks for such a confirming grant, the one on whose acceptance a decision rests.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -610,13 +610,15 @@
 			continue
 		}
 		confirm := s.entry.Moving && s.confirmable(now)
-		if confirm && s.entry.Fence <= s.uncertainFence {
+		if confirm && (s.granted || s.entry.Fence <= s.uncertainFence) {
 			c.assignNewFence(s) // and grant the range once the token is recorded
 			continue
 		}
 		s.confirmSent = s.confirmSent || confirm
 		s.inFlight = true
-		calls = append(calls, s.call(s.entry.Moving && !confirm))
+		call := s.call(s.entry.Moving && !confirm)
+		call.Grant.Confirm = confirm
+		calls = append(calls, call)
 	}
 	return calls
 }
@@ -651,7 +653,7 @@
 	if call.Kind == CallGrant && !notApplied(err) {
 		c.extendLease(call, err, now)
 	}
-	if call.Kind == CallGrant && err == nil {
+	if call.Grant.Confirm && err == nil {
 		s.confirm(call, now)
 	}
 	if s.replaced || s.entry.Fence != call.Grant.Fence || s.entry.Backend != call.Target.Backend {
--- a/internal/keylease/granter.go
+++ b/internal/keylease/granter.go
@@ -50,6 +50,9 @@
 	// only on the connection of the earlier grant: the process behind a new connection may
 	// have restarted, and must then get a higher token by a grant that is no renewal.
 	Renewal bool
+	// Confirm marks a grant before the release of a range, after which no earlier grant may take
+	// effect. It is sent on a connection of its own, so that its answer cannot be that of another.
+	Confirm bool
 	// SendBy is the time of the boot-time clock after which the call must not be sent, since the
 	// assignment lease may have ended; 0 for no such time.
 	SendBy time.Duration
