Give the lease up at a stop even if earlier grants may take effect

A VM that stopped within seconds after it had taken the assignment lease from a silent holder kept it until all leases of uncertain grants had ended, up to 5 s, or until it was killed; the next holder then had to find it silent. It now gives the lease up at once with the statement that calls are unconfirmed, as a VM without paths does.

TestStopAfterTakeover failed before (taken over after 1.91 s, 1.7 s allowed) and passes.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -781,15 +781,15 @@
 	l.lose(errUnfit)
 }
 
-// resign records that no VM holds the assignment lease. It does nothing while calls or
-// appends are in flight, or while an unanswered grant may still take effect.
+// resign records that no VM holds the assignment lease. It does nothing while calls or appends
+// are in flight. If earlier grants may still take effect, it states that calls are unconfirmed.
 func (l *Lessor) resign(ctx context.Context) {
 	lease := l.lease
-	if lease.appending || lease.core.CallsInFlight() || lease.core.HasUncertainGrants(l.Clock.Now()) {
+	if lease.appending || lease.core.CallsInFlight() {
 		return
 	}
-	state := lease.core.State()
-	state.Holder = ""
+	state := l.state(lease.core)
+	state.Holder, state.Unconfirmed = "", lease.core.HasUncertainGrants(l.Clock.Now())
 	record, ok := l.assignmentRecord("resignation", state)
 	if !ok {
 		return
--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -667,3 +667,23 @@
 	is.Equal(list[len(list)-1].Era, int64(1))
 	is.Equal(list[len(list)-1].Services["s"][0].Backend, "")
 }
+
+// TestStopAfterTakeover guards against a lease holder that stops shortly after it took the lease
+// from a silent one, and gives it up only seconds later or not at all, since earlier calls may
+// still be under way.
+func TestStopAfterTakeover(t *testing.T) {
+	log := &memoryLog{}
+	first := startLessor(t, log, "first")
+	await(t, "keys are granted", func() bool { return first.grants.n.Load() > 0 })
+	second := startLessor(t, log, "second")
+	first.log.setDisconnected(true)
+	await(t, "the second VM takes over", func() bool { held, _ := second.state(); return held })
+	third := startLessor(t, log, "third")
+	time.Sleep(100 * time.Millisecond)
+	second.Stop()
+	started := time.Now()
+	await(t, "the third VM takes over", func() bool { held, _ := third.state(); return held })
+	if elapsed := time.Since(started); elapsed > ClaimAfter {
+		t.Errorf("the third VM took over after %s", elapsed)
+	}
+}
