--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -110,6 +110,8 @@
 	renewedAt time.Duration
 	// unreachable is a server that its calls do not reach; nil for none.
 	unreachable *modelServer
+	// ungranted is a server that gets its grants too late; nil for none.
+	ungranted *modelServer
 }
 
 // maxCatalogueLag bounds how long a change of the catalogue takes to reach a VM.
@@ -263,10 +265,13 @@
 			p.appliesAt = m.now + time.Duration(m.random.Int64N(int64(8*time.Second)))
 		}
 	}
-	if m.loseAnswers {
+	if m.loseAnswers || call.Kind == CallGrant && to != nil && to == h.ungranted {
 		p.lost = true
 		p.answeredAt = m.now + grantTimeout
 	}
+	if call.Kind == CallGrant && to != nil && to == h.ungranted {
+		p.appliesAt = m.now + 2*RangeLeaseDuration
+	}
 	m.pending = append(m.pending, p)
 }
 
--- a/internal/keylease/takeover_test.go
+++ b/internal/keylease/takeover_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// TestUnconfirmedRelease guards against the same if the owner answers the release, but gets no grant
+// of the new holder before it, whose token would make it reject the renewal.
+func TestUnconfirmedRelease(t *testing.T) {
+	for cutAfter := time.Duration(0); cutAfter < RenewInterval; cutAfter += 100 * time.Millisecond {
+		m := newScriptedModel(t)
+		m.runFor(cutAfter)
+		m.cutHolder()
+		m.runFor(ClaimAfter - modelStep)
+		m.changeHolder()
+		m.holder.lag, m.holder.ungranted = 0, m.servers[0]
+		m.servers[0].usable = false
+		m.runFor(10 * time.Second)
+	}
+}
+
 // TestRestartedOwnerHoldsLease guards against a range that is given on when the catalogue shows
 // the restart of its owner, although the new process has already got the range by a grant.
 func TestRestartedOwnerHoldsLease(t *testing.T) {
