Let gossip run without sockets in tests of other packages

A model of a fleet in another package, as of limits that backend servers name, needs notices that travel under its own clock. Node.Due returns the datagrams of a round and of a comparison, and Node.Receive the replies to one; the loop over the socket only calls them. Callers see no change; the tests of the package pass as before.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -74,14 +74,14 @@
 
 // run advances the clock by d in rounds, with a comparison of each node once a second.
 func (m *networkModel) run(d time.Duration) {
-	for end := m.clock.Time + d; m.clock.Time < end; m.clock.Time += roundInterval {
+	for end := m.clock.Time + d; m.clock.Time < end; m.clock.Time += RoundInterval {
 		second := m.clock.Time % compareInterval
 		for i, n := range m.nodes {
 			if to, message := n.nextRound(m.clock.Time); len(message.Notices) > 0 {
 				m.deliver(i, to, message)
 			}
 			due := time.Duration(i) * compareInterval / time.Duration(len(m.nodes))
-			if second <= due && due < second+roundInterval {
+			if second <= due && due < second+RoundInterval {
 				to, message := n.comparison(m.clock.Time)
 				m.deliver(i, to, message)
 			}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// roundInterval is the time between two rounds while there are notices to send.
-	roundInterval = 60 * time.Millisecond
+	// RoundInterval is the time between two rounds while there are notices to send.
+	RoundInterval = 60 * time.Millisecond
 	// compareInterval is the time between two comparisons with another VM.
 	compareInterval = time.Second
 	// minReplyInterval is the least time between two replies to comparisons, which hold many
@@ -40,8 +40,8 @@
 	Handle    Handler
 }
 
-// Node is the gossip of one VM. It is safe for concurrent use. Handlers are called without its
-// lock.
+// Node is the gossip of one VM. It is safe for concurrent use, apart from Due. Handlers are called
+// without its lock.
 type Node struct {
 	clock  clock.Clock
 	log    *zap.Logger
@@ -54,6 +54,13 @@
 	random      *rand.Rand
 	order       []netip.AddrPort // peers in the order in which they are sent to
 	nextReplyAt time.Duration
+	compareAt   time.Duration // when the next comparison is due; for Due only
+}
+
+// Datagram is an encoded message and its receivers.
+type Datagram struct {
+	To      []netip.AddrPort
+	Content []byte
 }
 
 // NewNode returns a node that knows no notices. peers returns the UDP addresses of all other VMs.
@@ -62,7 +69,8 @@
 	for topic, s := range topics {
 		retention[topic] = s.Retention
 	}
-	return &Node{clock: c, log: log, topics: topics, peers: peers, random: random, table: newTable(random, retention)}
+	firstCompare := c.Now() + time.Duration(random.Float64()*float64(compareInterval))
+	return &Node{clock: c, log: log, topics: topics, peers: peers, random: random, table: newTable(random, retention), compareAt: firstCompare}
 }
 
 // Publish tells all other VMs of a notice, which replaces an earlier one with the same topic and
@@ -91,28 +99,47 @@
 	return nil
 }
 
-// run sends new notices and comparisons until ctx ends.
+// run sends what is due until ctx ends.
 func (n *Node) run(ctx context.Context, socket *net.UDPConn) {
-	ticker := time.NewTicker(roundInterval)
+	ticker := time.NewTicker(RoundInterval)
 	defer ticker.Stop()
-	nextCompare := n.clock.Now() + time.Duration(rand.Float64()*float64(compareInterval))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		now := n.clock.Now()
-		if to, m := n.nextRound(now); len(m.Notices) > 0 {
-			n.send(socket, to, m)
+		for _, d := range n.Due() {
+			send(socket, d)
 		}
-		if now >= nextCompare {
-			nextCompare = now + compareInterval
-			if to, m := n.comparison(now); len(to) > 0 {
-				n.send(socket, to, m)
-			}
+	}
+}
+
+// Due returns what this VM sends now: new notices and comparisons. It is called once in
+// RoundInterval.
+func (n *Node) Due() []Datagram {
+	now := n.clock.Now()
+	var due []Datagram
+	if to, m := n.nextRound(now); len(m.Notices) > 0 {
+		due = n.appendDatagram(due, to, m)
+	}
+	if now >= n.compareAt {
+		n.compareAt = now + compareInterval
+		if to, m := n.comparison(now); len(to) > 0 {
+			due = n.appendDatagram(due, to, m)
 		}
 	}
+	return due
+}
+
+// appendDatagram appends an encoded message, or logs why it cannot be encoded.
+func (n *Node) appendDatagram(list []Datagram, to []netip.AddrPort, m message) []Datagram {
+	content, err := cbor.Marshal(m)
+	if err != nil {
+		n.log.Error("notices cannot be encoded", logfield.Error(err))
+		return list
+	}
+	return append(list, Datagram{To: to, Content: content})
 }
 
 // nextRound returns the message of this round and its receivers. The message is empty if there
@@ -155,28 +182,32 @@
 	return chosen
 }
 
-// send sends a message. Errors are ignored: lost messages are covered by comparisons.
-func (n *Node) send(socket *net.UDPConn, to []netip.AddrPort, m message) {
-	content, err := cbor.Marshal(m)
-	if err != nil {
-		n.log.Error("notices cannot be encoded", logfield.Error(err))
-		return
-	}
-	for _, peer := range to {
-		_, _ = socket.WriteToUDPAddrPort(content, peer)
+// send sends a datagram. Errors are ignored: lost messages are covered by comparisons.
+func send(socket *net.UDPConn, d Datagram) {
+	for _, peer := range d.To {
+		_, _ = socket.WriteToUDPAddrPort(d.Content, peer)
 	}
 }
 
-// receive processes one message.
+// receive processes one datagram and sends the replies to it.
 func (n *Node) receive(socket *net.UDPConn, content []byte, from netip.AddrPort) {
+	for _, d := range n.Receive(content, from) {
+		send(socket, d)
+	}
+}
+
+// Receive processes one datagram and returns the replies to it.
+func (n *Node) Receive(content []byte, from netip.AddrPort) []Datagram {
 	m, err := decode(content)
 	if err != nil {
 		n.log.Debug("notices cannot be decoded", logfield.Error(err))
-		return
+		return nil
 	}
-	if reply := n.apply(m); reply != nil {
-		n.send(socket, []netip.AddrPort{from}, *reply)
+	reply := n.apply(m)
+	if reply == nil {
+		return nil
 	}
+	return n.appendDatagram(nil, []netip.AddrPort{from}, *reply)
 }
 
 // apply passes the new notices of a message to their handlers and returns the reply, if any.
