Tell all VMs of the limits that backend servers name

A backend server in need got requests from VMs that it had not told yet, and one that had recovered got few for minutes.

Cause: limits went with the load reports. These stay in a failure domain; those of remote backend servers are sent for owners only; and a newer load report of a VM that does not know the limit suppresses the one with it.

Change: VMs publish a notice (package gossip) when a limit begins, ends or changes, and every 15 s while it holds. Notices of a process have a version above all that the VM knew, so an end, which is still a signed answer without the limit to a request sent after the limit was known, counts against what was known then and nothing newer. Notices are kept 45 s, also for backend servers that the VM does not list yet, as after its start.

Tests: TestLimitEndIsShared and TestReportedLimit tested limits in load reports.

--- a/internal/forward/detour_test.go
+++ b/internal/forward/detour_test.go
@@ -123,7 +123,7 @@
 // after the VM has its paths back, since their failed connections count as restarts.
 func TestServersUsableWhenPathsAreBack(t *testing.T) {
 	is := is.New(t)
-	m := newLimitModel(1, false)
+	m := newLimitModel(1, 1, false)
 	vm := m.vms[0]
 	for range 9 {
 		b, reason := vm.pick(m.view, m.service, nil, workTime, time.Second)
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -28,6 +28,7 @@
 	arrivals []limitedRequest
 	// toldAt is when each VM received the first answer with a limit.
 	toldAt map[*Servers]time.Duration
+	onStep func() // nil if the VMs exchange nothing
 }
 
 // limitedRequest is a request at a backend server.
@@ -42,11 +43,13 @@
 const (
 	limitedServer = "b0"
 	workTime      = 50 * time.Millisecond
+	modelStep     = 5 * time.Millisecond
 )
 
 // newLimitModel returns a fleet with the given number of VMs. The service has nine backend
-// servers; if it is keyed, all requests are for keys of the first one.
-func newLimitModel(vms int, keyed bool) *limitModel {
+// servers; if it is keyed, all requests are for keys of the first one. VMs are spread over the
+// failure domains, and backend servers over half of them.
+func newLimitModel(vms, domains int, keyed bool) *limitModel {
 	m := &limitModel{
 		clock: &clock.Fake{Time: time.Minute}, random: rand.New(rand.NewPCG(7, uint64(vms))),
 		service: &fleet.Service{Name: "s", Keyed: keyed}, toldAt: make(map[*Servers]time.Duration),
@@ -55,22 +58,30 @@
 	m.view.Config.Index()
 	for i := range 9 {
 		id := fmt.Sprint("b", i)
-		m.view.Backends[id] = directory.Backend{Backend: fleet.Backend{ID: id, Service: "s", Domain: "d", Slots: 40, Started: 1}}
+		m.view.Backends[id] = directory.Backend{Backend: fleet.Backend{ID: id, Service: "s", Domain: fmt.Sprint("d", i%max(1, domains/2)), Slots: 40, Started: 1}}
 	}
+	m.vms = make([]*Servers, vms)
 	for i := range vms {
-		m.vms = append(m.vms, NewServers(m.clock, "d", ColdLimits{}, testProtocol{}, rand.New(rand.NewPCG(uint64(i), 3)), func() int { return vms }))
+		m.vms[i] = m.newVM(i, domains, 3)
 	}
 	return m
 }
 
+// newVM returns the state of a process of a VM that knows nothing.
+func (m *limitModel) newVM(number, domains int, seed uint64) *Servers {
+	return NewServers(m.clock, fmt.Sprint("d", number%domains), ColdLimits{}, testProtocol{}, rand.New(rand.NewPCG(uint64(number), seed)), func() int { return len(m.vms) })
+}
+
 // run advances the clock by d in steps of 5 ms. requestsPerSecond arrive at all VMs together.
 func (m *limitModel) run(d time.Duration, requestsPerSecond float64) {
-	const step = 5 * time.Millisecond
-	for end := m.clock.Time + d; m.clock.Time < end; m.clock.Time += step {
+	for end := m.clock.Time + d; m.clock.Time < end; m.clock.Time += modelStep {
 		m.answerFinished()
-		for range m.poisson(requestsPerSecond * step.Seconds()) {
+		for range m.poisson(requestsPerSecond * modelStep.Seconds()) {
 			m.request(m.vms[m.random.IntN(len(m.vms))])
 		}
+		if m.onStep != nil {
+			m.onStep()
+		}
 	}
 }
 
@@ -133,27 +144,38 @@
 			counted = append(counted, r.sent)
 		}
 	}
+	return mostInWindow(counted, from)
+}
+
+// mostInWindow returns the largest number of times from the given one on that fall into 4 s.
+func mostInWindow(times []time.Duration, from time.Duration) int {
 	most, first := 0, 0
-	for i, at := range counted {
-		for counted[first] <= at-4*time.Second {
-			first++
+	for i, at := range times {
+		for times[first] < from || times[first] <= at-4*time.Second {
+			if first++; first > i {
+				break
+			}
 		}
 		most = max(most, i-first+1)
 	}
 	return most
 }
 
-// since returns the number of requests at the limited server from the given time on.
-func (m *limitModel) since(from time.Duration) int {
+// between returns the number of requests at the limited server from one time on until before
+// another.
+func (m *limitModel) between(from, until time.Duration) int {
 	count := 0
 	for _, r := range m.arrivals {
-		if r.sent >= from {
+		if r.sent >= from && r.sent < until {
 			count++
 		}
 	}
 	return count
 }
 
+// since returns the number of requests at the limited server from the given time on.
+func (m *limitModel) since(from time.Duration) int { return m.between(from, m.clock.Time+1) }
+
 // A backend server that names a limit must not get more than one and a half times of it in 4 s
 // from all VMs together, 5 requests allowed beside: each VM went on choosing it by load, at four
 // times its limit. It must still get a good part of what it accepts.
@@ -163,7 +185,7 @@
 			for _, limit := range []float64{1, 4.5, 20} {
 				t.Run(fmt.Sprintf("keyed=%v/vms=%d/limit=%g", keyed, vms, limit), func(t *testing.T) {
 					is := is.New(t)
-					m := newLimitModel(vms, keyed)
+					m := newLimitModel(vms, 1, keyed)
 					demand := float64(40 * 9)
 					if keyed {
 						demand = 60
@@ -185,7 +207,7 @@
 // When a backend server names a limit no more, it must get its part of the requests again.
 func TestServerLimitEnds(t *testing.T) {
 	is := is.New(t)
-	m := newLimitModel(10, false)
+	m := newLimitModel(10, 1, false)
 	m.limit = 4.5
 	m.run(8*time.Second, 360)
 	limited := m.clock.Time
@@ -257,62 +279,6 @@
 	is.True(m.shortestDelay("s", "b") < 300*time.Millisecond)
 }
 
-// The end of a limit must become known in a failure domain although each of its VMs may send to
-// the backend server only now and then: with 50 VMs, one request in 12 s.
-func TestLimitEndIsShared(t *testing.T) {
-	is := is.New(t)
-	const vms = 50
-	m := newLimitModel(vms, false)
-	m.limit = 4.5
-	m.run(10*time.Second, 360)
-	m.limit = 0
-	for range 40 {
-		m.run(100*time.Millisecond, 360)
-		for _, from := range m.vms {
-			reports := from.CollectReports(100)
-			for _, to := range m.vms {
-				if to != from {
-					to.ApplyReports(reports)
-				}
-			}
-		}
-	}
-	limited := 0
-	for _, vm := range m.vms {
-		limited += vm.LimitedCount()
-	}
-	is.Equal(limited, 0)
-}
-
-// A VM that learns of a limit from another one must keep to it, and an end that another VM saw
-// before this VM saw the limit must not count.
-func TestReportedLimit(t *testing.T) {
-	is := is.New(t)
-	m := newLimitModel(2, false)
-	m.run(time.Second, 100)
-	m.limit = 4.5
-	told, other := m.vms[0], m.vms[1]
-	b := told.byID[limitedServer]
-	told.endRequest(b, m.service, func(now time.Duration) {
-		answer := ResponseHeaders{Limit: 4.5, HasLimit: true}
-		told.applyNotices(b, &answer, now, now)
-		b.applyLoad(Load{Slots: 40, Slowness: 1}, now)
-	})
-	b.ownInFlight++
-	other.ApplyReports(told.CollectReports(100))
-	is.Equal(other.LimitedCount(), 1)
-
-	state := other.byID[limitedServer]
-	other.endRequest(state, m.service, func(now time.Duration) {
-		other.applyNotices(state, &ResponseHeaders{Signed: true}, now+time.Millisecond, now+time.Millisecond)
-		state.applyLoad(Load{Slots: 40, Slowness: 1}, now)
-	})
-	state.ownInFlight++
-	is.Equal(other.LimitedCount(), 0)
-	told.ApplyReports(other.CollectReports(100))
-	is.Equal(told.LimitedCount(), 1) // the answer may be older than the one with the limit
-}
-
 // A rejection without a limit must not end it: a backend server in need rejects requests, and
 // each VM would send freely until the next answer.
 func TestRejectionKeepsLimit(t *testing.T) {
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/fleet"
-	"fireflyfield/internal/loadshare"
 )
 
 const (
@@ -47,10 +46,10 @@
 	}
 	switch {
 	case answer.HasLimit:
-		s.applyLimit(b, true, answer.Limit, now, now)
+		s.observeLimit(b, true, answer.Limit, now, now)
 	case answer.Signed:
 		// A rejection or an error need not carry the limit.
-		s.applyLimit(b, false, 0, sentAt, now)
+		s.observeLimit(b, false, 0, sentAt, now)
 	}
 	if answer.Leaving && b.notice.leavingSince == 0 {
 		b.notice.leavingSince = now
@@ -61,39 +60,67 @@
 	}
 }
 
-// applyLimit records what is known of a limit at the given time, as in requestLimit.observe.
-// The caller holds s.mu.
-func (s *Servers) applyLimit(b *backend, named bool, rate float64, at, now time.Duration) {
-	if b.notice.limit.observe(named, rate, at, now, s.vms(), s.random.Float64()) {
-		s.Log.Info("limit of a backend server changed", zap.String("backend", b.ID), zap.String("service", b.Service),
-			zap.Bool("limited", named), zap.Float64("limit", rate))
+// observeLimit records what an answer says of a limit, as in requestLimit.observe, and tells the
+// other VMs. The caller holds s.mu.
+func (s *Servers) observeLimit(b *backend, named bool, rate float64, at, now time.Duration) {
+	limit := &b.notice.limit
+	changed := limit.observe(named, rate, at, now, s.vms(), s.random.Float64())
+	if changed {
+		s.logLimit(b.Process(), limit, false)
+	}
+	if s.PublishLimit != nil && limit.news(changed, now) {
+		s.PublishLimit(LimitNotice{Backend: b.ID, Started: b.Started, Version: limit.tell(now), Named: limit.named, Rate: limit.rate})
 	}
 }
 
-// applyLimitReport records what another VM knows of a limit. The caller holds s.mu.
-func (s *Servers) applyLimitReport(b *backend, limit *loadshare.Limit, now time.Duration) {
-	if limit == nil || !limit.Named && b.notice == nil {
+// ApplyLimitNotice records what another VM has told of a limit at the given time. The backend
+// server may not be listed yet.
+func (s *Servers) ApplyLimitNotice(n LimitNotice, publishedAt time.Duration) {
+	if !n.valid() {
+		s.Log.Info("notice of a limit is out of range", zap.String("backend", n.Backend), zap.Uint32("version", n.Version), zap.Float64("limit", n.Rate))
 		return
 	}
-	at := now - time.Duration(limit.AgeMs)*time.Millisecond
-	if !limit.Named {
-		at -= reportTransit
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := &s.noticeOf(n.process(), now).limit
+	if limit.apply(&n, publishedAt, now, s.vms(), s.random.Float64()) {
+		s.logLimit(n.process(), limit, true)
 	}
-	s.ensureNotice(b, now)
-	s.applyLimit(b, limit.Named, limit.Rate, at, now)
+	if b := s.byID[n.Backend]; b != nil && b.Process() == n.process() {
+		s.ensureNotice(b, now)
+	}
+}
+
+// logLimit logs that a limit began or ended. told is set if another VM has told so.
+func (s *Servers) logLimit(process fleet.ProcessID, limit *requestLimit, told bool) {
+	service := ""
+	if b := s.byID[process.Backend]; b != nil {
+		service = b.Service
+	}
+	s.Log.Info("limit of a backend server changed", zap.String("backend", process.Backend), zap.String("service", service),
+		zap.Bool("limited", limit.named), zap.Float64("limit", limit.rate), zap.Bool("told_by_vm", told))
 }
 
 // ensureNotice gives the backend server a notice if it has none. The caller holds s.mu.
 func (s *Servers) ensureNotice(b *backend, now time.Duration) {
 	if b.notice == nil {
-		b.notice = s.notices[b.Process()]
+		b.notice = s.noticeOf(b.Process(), now)
 	}
-	if b.notice == nil {
+	b.notice.updatedAt = now
+}
+
+// noticeOf returns the notice of a process, which it makes if there is none. The caller holds
+// s.mu.
+func (s *Servers) noticeOf(process fleet.ProcessID, now time.Duration) *notice {
+	known := s.notices[process]
+	if known == nil {
 		maps.DeleteFunc(s.notices, func(_ fleet.ProcessID, n *notice) bool { return now-n.updatedAt > noticeRetention })
-		b.notice = &notice{}
-		s.notices[b.Process()] = b.notice
+		known = &notice{}
+		s.notices[process] = known
 	}
-	b.notice.updatedAt = now
+	known.updatedAt = now
+	return known
 }
 
 // limitWait returns the time until this VM may send the backend server a request within the
@@ -135,14 +162,6 @@
 	return max(0, b.notice.pausedUntil-now)
 }
 
-// limitReport returns what other VMs are told of the limit, or nil if there was none lately.
-func (b *backend) limitReport(now time.Duration) *loadshare.Limit {
-	if b.notice == nil {
-		return nil
-	}
-	return b.notice.limit.report(now)
-}
-
 // retryDelay returns the time after which a rejected caller may be served: after the pause, or
 // when the limit allows a request of any VM, since callers return to others.
 func (b *backend) retryDelay(now time.Duration) time.Duration {
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -77,6 +77,9 @@
 	// KeyedLeaveGrace is how long a backend server that says that it leaves may receive
 	// requests for the keys that it owns. It is set before the first request.
 	KeyedLeaveGrace time.Duration
+	// PublishLimit, if not nil, tells all other VMs of a limit. It must not block. It is set before
+	// the first request.
+	PublishLimit func(LimitNotice)
 	// Log gets a line for each change of what backend servers say of themselves. It is set
 	// before the first request.
 	Log *zap.Logger
@@ -468,7 +471,6 @@
 		b.unreported = false
 		reports = append(reports, loadshare.Report{
 			Backend: b.ID, InFlight: int(b.othersInFlight) + b.ownInFlight, Slowness: int(100 * b.slowness), AgeMs: (now - b.reportAt).Milliseconds(),
-			Limit: b.limitReport(now),
 		})
 	}
 	return reports
@@ -481,9 +483,6 @@
 	defer s.mu.Unlock()
 	for _, r := range reports {
 		b := s.byID[r.Backend]
-		if b != nil {
-			s.applyLimitReport(b, r.Limit, now)
-		}
 		reportedAt := now - time.Duration(r.AgeMs)*time.Millisecond
 		if b == nil || reportedAt <= b.reportAt {
 			continue
--- a/internal/loadshare/fuzz_test.go
+++ b/internal/loadshare/fuzz_test.go
@@ -11,14 +11,13 @@
 // backend server has.
 func TestInvalidReports(t *testing.T) {
 	is := is.New(t)
-	valid := Report{Backend: "b", InFlight: 3, Slowness: 100, AgeMs: 4, Limit: &Limit{Named: true, Rate: 4.5}}
+	valid := Report{Backend: "b", InFlight: 3, Slowness: 100, AgeMs: 4}
 	content, err := cbor.Marshal([]Report{
 		valid,
 		{Backend: "future", Slowness: 100, AgeMs: -5000},
 		{Backend: "old", Slowness: 100, AgeMs: 1 << 62},
 		{Backend: "negative", InFlight: -1, Slowness: 100},
 		{Backend: "no slowness"},
-		{Backend: "limit", Slowness: 100, Limit: &Limit{Named: true, Rate: -1}},
 	})
 	is.NoErr(err)
 	reports, err := decode(content)
@@ -28,7 +27,7 @@
 
 // FuzzDecode checks that no datagram crashes the decoder or yields a report out of range.
 func FuzzDecode(f *testing.F) {
-	content, err := cbor.Marshal([]Report{{Backend: "b", InFlight: 3, Slowness: 250, AgeMs: 4, Limit: &Limit{Named: true, Rate: 4.5, AgeMs: 7}}})
+	content, err := cbor.Marshal([]Report{{Backend: "b", InFlight: 3, Slowness: 250, AgeMs: 4}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -34,8 +33,7 @@
 	maxReports = 40
 	// maxDatagramBytes bounds a received message.
 	maxDatagramBytes = 8 << 10
-	// maxInFlight, maxSlowness (in percent) and maxAge bound the values of a report. The
-	// answer that names a limit may be old: a VM sends to such a backend server rarely.
+	// maxInFlight, maxSlowness (in percent) and maxAge bound the values of a report.
 	maxInFlight = 1 << 20
 	maxSlowness = 1 << 20
 	maxAge      = time.Hour
@@ -50,19 +48,7 @@
 	Slowness int `cbor:"3,keyasint"`
 	// AgeMs is the age of the report in milliseconds.
 	AgeMs int64 `cbor:"4,keyasint"`
-	// Limit is what the backend server last said of a limit; nil if it has named none.
-	Limit *Limit `cbor:"5,keyasint,omitempty"`
-}
-
-// Limit is a limit that a backend server names on the requests of all VMs together.
-type Limit struct {
-	// Named is set if the limit holds, and not set if it has ended.
-	Named bool `cbor:"1,keyasint"`
-	// Rate is the limit in requests per second.
-	Rate float64 `cbor:"2,keyasint,omitempty"`
-	// AgeMs is the time in milliseconds since the answer that named the limit arrived, or
-	// since the request was sent whose answer named none.
-	AgeMs int64 `cbor:"3,keyasint"`
+	// Key 5 was a limit that the backend server names.
 }
 
 // Exchange sends and receives load reports over UDP. Lost datagrams are not sent again.
@@ -109,12 +95,10 @@
 
 // valid reports whether all values are in range.
 func (r *Report) valid() bool {
-	return r.InFlight >= 0 && r.InFlight <= maxInFlight && r.Slowness > 0 && r.Slowness <= maxSlowness && validAge(r.AgeMs) &&
-		(r.Limit == nil || r.Limit.Rate >= 0 && !math.IsInf(r.Limit.Rate, 1) && validAge(r.Limit.AgeMs))
+	return r.InFlight >= 0 && r.InFlight <= maxInFlight && r.Slowness > 0 && r.Slowness <= maxSlowness &&
+		r.AgeMs >= 0 && r.AgeMs <= maxAge.Milliseconds()
 }
 
-func validAge(ms int64) bool { return ms >= 0 && ms <= maxAge.Milliseconds() }
-
 // sendInterval returns the time between two messages to each of the given number of peers.
 func sendInterval(peers int) time.Duration {
 	return min(maxSendInterval, max(minSendInterval, time.Duration(peers)*time.Second/maxSendsPerSecond))
--- a/internal/router/notices.go
+++ b/internal/router/notices.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"fireflyfield/internal/fleet"
+	"fireflyfield/internal/forward"
 	"fireflyfield/internal/gossip"
 	"fireflyfield/internal/logfield"
 	"fireflyfield/internal/quarantine"
@@ -22,6 +23,7 @@
 	topicAnswered gossip.Topic = 2
 	topicAlive    gossip.Topic = 3
 	topicReach    gossip.Topic = 4
+	topicLimit    gossip.Topic = 5
 )
 
 // processNotice is a process of a backend server.
@@ -91,6 +93,11 @@
 			r.applyReach(reach, at)
 		}
 	}}
+	topics[topicLimit] = gossip.Subscription{Retention: forward.LimitRetention, Handle: func(n gossip.Notice, at time.Duration) {
+		if limit, ok := decodeNotice[forward.LimitNotice](r.log, n); ok {
+			r.servers.ApplyLimitNotice(limit, at)
+		}
+	}}
 	return gossip.NewNode(r.clock, r.log, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), topics, func() []netip.AddrPort {
 		if peers := r.gossipPeers.Load(); peers != nil {
 			return *peers
@@ -99,6 +106,9 @@
 	})
 }
 
+// publishLimit tells all VMs of a limit that a backend server names.
+func (r *Router) publishLimit(n forward.LimitNotice) { r.gossip.Publish(topicLimit, n.Key(), n) }
+
 // setGossipPeers sets the addresses to which notices are sent.
 func (r *Router) setGossipPeers(members []share.Member) {
 	var peers []netip.AddrPort
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,7 +4,7 @@
 // key range leases and the rate limits are left to the packages that it connects.
 //
 // Lock order: forward.Forwarder, then forward.Servers, then upstream.Pool; the
-// locks of directory.Directory, keylease.Table and share.Limiter are taken last, with
+// locks of gossip.Node, directory.Directory, keylease.Table and share.Limiter are taken last, with
 // no other lock acquired while they are held. No lock is held during I/O.
 package router
 
@@ -165,6 +165,7 @@
 	r.metrics = m
 	r.reach = reach.NewMonitor()
 	r.gossip = r.newGossip()
+	r.servers.PublishLimit = r.publishLimit
 	r.quarantine = quarantine.NewDetector(r.log, crashPublisher{r.gossip})
 	r.forwarder = forward.New(forward.Options{
 		Quarantine: r.quarantine, Reach: r.reach,
