Check the bound of named limits in the soak

The soak let backend servers name limits but did not look at what they got. Backend servers name them now for 9 s instead of 3 s, beside the other faults, and one of each service in a phase without any. The stand-ins record each request with the address of its VM, which the proxies keep now, and when it was answered. From 3 s after the first answer with the limit L on, at most 1.5 L times 4 s and 5 requests may arrive in 4 s, from VMs that were answered half a second before. A restart, freeze or cut excuses its VM, impaired connections to the server the whole limit. Limits are 1 to 4 requests/s: without limits a server gets about 7.

soak.TestLimitCheck and TestArrivalsBySource test the check.

faultLog is taken out of stopLog, which keeps its meaning; MostInWindow replaces MostReceived with the same bounds.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -52,12 +53,13 @@
 	}},
 	{"VM paused", func(s *Soak, _ time.Duration) func() {
 		v := s.randomVM()
-		ended := v.stops.fault()
+		ended, frozen := v.stops.faults.begin(), v.disrupted.begin()
 		v.signal(syscall.SIGSTOP)
 		return func() {
 			s.resumedAt.Store(time.Now().UnixNano())
 			v.signal(syscall.SIGCONT)
 			ended()
+			frozen()
 		}
 	}},
 	{"all VMs killed", func(s *Soak, duration time.Duration) func() {
@@ -73,14 +75,22 @@
 	{"connections of a VM to the shared log impaired", func(s *Soak, _ time.Duration) func() { return s.impairProxy(s.randomVM().logProxy) }},
 	{"connections of callers to a VM impaired", func(s *Soak, _ time.Duration) func() {
 		v := s.randomVM()
-		ended := v.stops.fault()
+		ended := v.stops.faults.begin()
 		end := s.impairProxy(v.callerProxy)
 		return func() {
 			end()
 			ended()
 		}
 	}},
-	{"connections to a backend server impaired", func(s *Soak, _ time.Duration) func() { return s.impairProxy(s.randomBackend().currentProxy()) }},
+	{"connections to a backend server impaired", func(s *Soak, _ time.Duration) func() {
+		b := s.randomBackend()
+		ended := b.disrupted.begin()
+		end := s.impairProxy(b.currentProxy())
+		return func() {
+			end()
+			ended()
+		}
+	}},
 	{"connections to a backend server reset", func(s *Soak, _ time.Duration) func() {
 		s.randomBackend().currentProxy().Reset()
 		return nil
@@ -135,18 +145,21 @@
 
 // injectNotices makes backend servers say in their answers that they leave, or that they limit
 // their requests, until ctx ends. It has a random source of its own, so that the other faults of
-// a seed stay the same. A server that leaves is replaced after noticeDuration.
+// a seed stay the same. A server that leaves is replaced after noticeDuration; limits last longer,
+// beside other notices.
 func (s *Soak) injectNotices(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 79))
+	var limits sync.WaitGroup
+	defer limits.Wait()
 	for number := 0; clock.Sleep(ctx, minNoticeGap+time.Duration(random.Int64N(int64(noticeGapRange)))); number++ {
 		b := s.backends[random.IntN(len(s.backends))]
 		server := b.currentBackend()
 		if random.IntN(2) == 0 {
-			limit := 1 + 9*random.Float64()
-			s.recordEvent("%s limits its requests to %.1f per second", server.ID, limit)
-			server.SetLimit(limit)
+			limit := randomLimit(random)
+			if server.Limit() == 0 {
+				limits.Go(func() { s.nameLimit(ctx, b, limit) })
+			}
 			clock.Sleep(ctx, noticeDuration)
-			server.SetLimit(0)
 			continue
 		}
 		s.recordEvent("%s says that it leaves", server.ID)
--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -204,9 +204,11 @@
 		v := s.vms[random.IntN(len(s.vms))]
 		manner := platformtest.Manner(random.IntN(int(platformtest.MannerCount)))
 		s.recordEvent("%s loses its paths to all backend servers, manner %d", v.name, manner)
+		ended := v.disrupted.begin()
 		s.partition.Cut(v.sourceIP, manner)
 		clock.Sleep(ctx, minCutDuration+time.Duration(random.Int64N(int64(cutDurationRange))))
 		s.resumedAt.Store(time.Now().UnixNano())
 		s.partition.Heal(v.sourceIP)
+		ended()
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -35,6 +35,9 @@
 	// never has two processes.
 	restarting sync.Mutex
 	stops      stopLog
+	// disrupted are the restarts and freezes of the process, and the cuts of its paths to the
+	// backend servers.
+	disrupted faultLog
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -111,11 +114,12 @@
 func (v *vm) restart(signal syscall.Signal, delay time.Duration) {
 	v.restarting.Lock()
 	defer v.restarting.Unlock()
+	defer v.disrupted.begin()()
 	ended := func() {}
 	if signal == syscall.SIGTERM {
 		ended = v.stops.stop()
 	} else {
-		defer v.stops.fault()()
+		defer v.stops.faults.begin()()
 	}
 	v.signal(signal)
 	v.mu.Lock()
@@ -148,6 +152,8 @@
 type backend struct {
 	soak          *Soak
 	service, zone string
+	// disrupted are the times in which its connections are impaired.
+	disrupted faultLog
 
 	mu      sync.Mutex
 	running *platformtest.RunningBackend
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -123,7 +123,7 @@
 
 // serve forwards one connection in both directions until both have ended.
 func (p *Proxy) serve(c net.Conn) {
-	t, err := net.Dial("tcp4", p.target)
+	t, err := dialFrom(c, p.target)
 	if err != nil {
 		reset(c)
 		return
@@ -141,6 +141,16 @@
 	p.mu.Unlock()
 }
 
+// dialFrom connects to the target from the IP address of the peer of c, by which backend servers
+// tell VMs apart.
+func dialFrom(c net.Conn, target string) (net.Conn, error) {
+	var dialer net.Dialer
+	if peer, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		dialer.LocalAddr = &net.TCPAddr{IP: peer.IP}
+	}
+	return dialer.Dial("tcp4", target)
+}
+
 // copy forwards bytes as the mode says, and forwards the end or the failure of the
 // connection too. fromTarget is true in the direction from the target.
 func (p *Proxy) copy(to, from net.Conn, fromTarget bool) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -140,6 +140,7 @@
 	s.startFinalPhase()
 	clock.Sleep(ctx, finalPhase)
 	s.checkRecovery()
+	s.runLimitPhase(ctx)
 	s.runCrashPhase(ctx)
 	s.runCutPhase(ctx)
 	stopClients()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -109,7 +110,7 @@
 	is.Equal(violations(time.Now()), 1)
 	is.Equal(violations(time.Now().Add(-time.Minute)), 0) // its deadline has passed
 	sentAt := time.Now()
-	ended := v.stops.fault()
+	ended := v.stops.faults.begin()
 	is.Equal(violations(time.Now()), 0)
 	ended()
 	is.Equal(violations(sentAt), 0)
@@ -142,3 +143,60 @@
 	is.Equal(sum(counts, func(v *vm) bool { return v == a }), tries{sent: 1})
 	is.Equal(sum(counts, func(*vm) bool { return true }), tries{sent: 2, served: 1})
 }
+
+// TestLimitCheck guards against a check of limits that finds nothing, or that counts requests
+// which the rule does not: of VMs that were not told, told lately, or restarted, and early ones.
+func TestLimitCheck(t *testing.T) {
+	is := is.New(t)
+	named := time.Now()
+	arrival := func(source string, after, took time.Duration) platformtest.Arrival {
+		a := platformtest.Arrival{Source: source, At: named.Add(after)}
+		if took > 0 {
+			a.AnsweredAt = a.At.Add(took)
+		}
+		return a
+	}
+	arrivals := []platformtest.Arrival{
+		arrival("told", 0, time.Millisecond),
+		arrival("restarted", 0, time.Millisecond),
+		arrival("told", stableWindow, time.Millisecond), // 1 ms early
+		arrival("told", stableWindow+time.Millisecond, 0),
+		arrival("restarted", 5*time.Second, time.Millisecond),
+		arrival("late", 5*time.Second, time.Millisecond),
+		arrival("late", 5*time.Second+limitNoticeTime, 0), // 1 ms early
+		arrival("late", 5*time.Second+limitNoticeTime+time.Millisecond, 0),
+		arrival("no answer", 5*time.Second, 0),
+		arrival("no answer", 6*time.Second, 0),
+		arrival("told", 7*time.Second, 0),
+	}
+	counted := countedArrivals(arrivals, map[string]bool{"restarted": true})
+	is.Equal(len(counted), 3)
+	is.Equal(platformtest.MostInWindow(counted, limitWindow), 3)
+	is.Equal(platformtest.MostInWindow(counted, 3*time.Second), 2)
+	var v vm
+	is.True(!v.disrupted.since(named))
+	ended := v.disrupted.begin()
+	is.True(v.disrupted.since(time.Now()))
+	ended()
+	is.True(v.disrupted.since(named))
+	is.True(!v.disrupted.since(time.Now()))
+}
+
+// TestArrivalsBySource guards against arrivals that count for no VM, since a proxy hides their
+// address.
+func TestArrivalsBySource(t *testing.T) {
+	is := is.New(t)
+	s := newSoak(Options{})
+	b := &backend{soak: s, service: "read", zone: zones[0]}
+	is.NoErr(b.start("read-0"))
+	defer b.crash()
+	b.currentBackend().SetLimit(4)
+	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP("127.0.1.9")}}).DialContext}}
+	response, err := client.Get("http://" + b.currentProxy().Address() + "/x")
+	is.NoErr(err)
+	response.Body.Close()
+	arrivals := b.currentBackend().Arrivals()
+	is.Equal(len(arrivals), 1)
+	is.Equal(arrivals[0].Source, "127.0.1.9")
+	is.True(!arrivals[0].AnsweredAt.IsZero())
+}
