Drop a reason that no request line shows

forward.mayRetry set the reason crash-suspected for a request that is not retried since it has probably ended backend servers. Its outcome is unknown then, so giveUp always states outcome-unknown or timeout instead, or passes on a response. No caller or log line changes. Found by reading; the tests of forward pass as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -77,7 +77,7 @@
 
 // mayRetry reports whether one more attempt may be made after number attempts, and
 // takes it out of the retry budget unless no backend server has received the request.
-// Otherwise it sets the reason of the event.
+// Otherwise it sets the reason of the event if giveUp needs one.
 func (f *Forwarder) mayRetry(rs *requestState, number int) bool {
 	now := f.Clock.Now()
 	if rs.deadline-now < minAttemptTime {
@@ -99,8 +99,7 @@
 		return true
 	}
 	if rs.outcomeUnknown && f.suspected(rs) {
-		rs.event.Reason = "crash-suspected"
-		return false
+		return false // giveUp states that the outcome is unknown
 	}
 	if !f.budget(rs.service.Name).Take(time.Unix(0, int64(now))) {
 		rs.event.Reason = "retry-budget"
