Record in one place that a process was alive after its reported end

quarantine.ApplyAlive set the time in the map alive, and addAlive set it once more when it dropped a crash. addAlive alone sets it now; Responded, which must not remember processes without a crash, asks for one before it calls it. Found by reading, nothing that callers see changes. No test covered ApplyAlive: TestAliveOfOtherVM does, in both orders of the notices; it fails without the line that sets the time and passes before and after this change.

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -222,7 +222,11 @@
 // it had not ended before.
 func (d *Detector) Responded(process fleet.ProcessID, sentAt, now time.Duration) {
 	d.mu.Lock()
-	news := d.addAlive(process, sentAt, now)
+	e := d.events[process]
+	news := e != nil && sentAt > e.at
+	if news {
+		d.addAlive(process, sentAt, now)
+	}
 	d.mu.Unlock()
 	if news {
 		d.publisher.Alive(process)
@@ -230,25 +234,21 @@
 }
 
 // ApplyAlive records that another VM got an answer of a process to a request that it had sent at
-// the given time.
+// the given time. The notice of the crash may arrive later.
 func (d *Detector) ApplyAlive(process fleet.ProcessID, sentAt, now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.alive[process] = max(d.alive[process], sentAt)
 	d.addAlive(process, sentAt, now)
 }
 
-// addAlive drops the crash of a process that was alive later, and reports whether there was one.
-// The caller holds d.mu.
-func (d *Detector) addAlive(process fleet.ProcessID, sentAt, now time.Duration) bool {
-	e := d.events[process]
-	if e == nil || sentAt <= e.at {
-		return false
-	}
+// addAlive records that a process was alive, and drops its crash if it was alive later. The caller
+// holds d.mu.
+func (d *Detector) addAlive(process fleet.ProcessID, sentAt, now time.Duration) {
 	d.alive[process] = max(d.alive[process], sentAt)
-	delete(d.events, process)
-	d.change(now)
-	return true
+	if e := d.events[process]; e != nil && sentAt > e.at {
+		delete(d.events, process)
+		d.change(now)
+	}
 }
 
 // Blocked returns how long a request is still quarantined, or 0 if it may be sent.
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -252,3 +252,29 @@
 		m.ApplyCrash(Crash{Process: fleet.ProcessID{Backend: "x", Started: int64(i)}, Requests: besides(), At: m.now}, m.now)
 	}
 }
+
+// TestAliveOfOtherVM guards against a crash that counts although another VM has got an answer of
+// the process since, in whatever order the notices of the two arrive.
+func TestAliveOfOtherVM(t *testing.T) {
+	for _, aliveFirst := range []bool{false, true} {
+		t.Run(fmt.Sprintf("alive first %t", aliveFirst), func(t *testing.T) {
+			is := is.New(t)
+			m := newDetectorModel()
+			r := request("r", "")
+			for i := range 3 {
+				m.now += 3 * time.Second
+				process := fleet.ProcessID{Backend: fmt.Sprint("b", i), Started: 1}
+				crash := Crash{Process: process, Requests: []Fingerprint{r}, At: m.now}
+				if aliveFirst {
+					m.ApplyAlive(process, m.now+time.Millisecond, m.now)
+					m.ApplyCrash(crash, m.now)
+				} else {
+					m.ApplyCrash(crash, m.now)
+					m.ApplyAlive(process, m.now+time.Millisecond, m.now)
+				}
+			}
+			is.True(!m.suspected(r))
+			is.True(!m.Active())
+		})
+	}
+}
