End the wait for a permit under one lock

forward.acquirePermit took the lock of the server states up to four times after a wait (hasPermit, cancelWait, mayReceive, limitWaitOf), and what they said could be of different moments: a request whose permit arrived between the first two was rejected as owner-backends-full with a free permit. endWait decides once. Found by reading.

TestEndOfWait covers each reason; the tests of the queue use endWait with the same expectations, and the reasons in addition. go test -race ./internal/forward passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -480,20 +480,12 @@
 		return b, reason
 	}
 	wait(ctx, until-f.Clock.Now(), w.ready, nil)
-	hasPermit := f.Servers.hasPermit(w)
 	current := f.Table.Find(rs.service.Name, rs.call.Key)
 	moved := current == nil || current.Backend != b.process.Backend || current.Moving
-	if hasPermit && !moved {
-		return b, pickOK
+	if reason = f.Servers.endWait(f.Directory.View(), b, rs.service, w, moved); reason != pickOK {
+		return nil, reason
 	}
-	f.Servers.cancelWait(b, rs.service, w)
-	switch {
-	case moved || !f.Servers.mayReceive(f.Directory.View(), b):
-		return nil, pickNoServer
-	case f.Servers.limitWaitOf(b.process.Backend) > 0:
-		return nil, pickLimited
-	}
-	return nil, pickAllFull
+	return b, pickOK
 }
 
 // priority returns the priority of the request's workspace, or of its route if the
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -56,7 +56,7 @@
 			is.Equal(reason, pickNoServer)
 			m.finishRequest(b)
 			<-queued.ready
-			is.True(!m.hasPermit(queued))
+			is.True(!queued.hasPermit)
 		})
 	}
 }
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -312,7 +312,7 @@
 	for _, w := range waiting {
 		select {
 		case <-w.ready:
-			is.True(!m.hasPermit(w))
+			is.True(!w.hasPermit)
 		default:
 			t.Error("a request is not woken")
 		}
--- a/internal/forward/queue_test.go
+++ b/internal/forward/queue_test.go
@@ -60,10 +60,10 @@
 	_, _, reason = m.acquire(1, 150*time.Millisecond)
 	is.Equal(reason, pickTooLate) // it would be served after its deadline
 	for _, w := range []*waiter{important, early, late} {
-		is.True(!m.hasPermit(w))
+		is.True(!w.hasPermit)
 		m.finishRequest(b)
 		<-w.ready
-		is.True(m.hasPermit(w))
+		is.True(w.hasPermit)
 	}
 	m.finishRequest(b)
 	is.Equal(b.ownInFlight, 0)
@@ -77,10 +77,10 @@
 	_, b, _ := m.acquire(1, time.Second)
 	cancelled, _, _ := m.acquire(1, time.Second)
 	admitted, _, _ := m.acquire(1, time.Second)
-	m.cancelWait(b, m.service, cancelled)
+	is.Equal(m.endWait(m.view, b, m.service, cancelled, false), pickAllFull)
 	m.finishRequest(b)
 	<-admitted.ready
-	m.cancelWait(b, m.service, admitted) // it gave up at the moment it received the permit
+	is.Equal(m.endWait(m.view, b, m.service, admitted, true), pickNoServer) // the key moved at the moment it received the permit
 	is.Equal(b.ownInFlight, 0)
 	// Waiters of a backend server that is removed are woken up.
 	_, _, reason := m.acquire(1, time.Second)
@@ -89,7 +89,35 @@
 	_, reason = m.acquireOrQueue(&directory.View{Config: m.view.Config}, "b", m.service, last, time.Millisecond, time.Second)
 	is.Equal(reason, pickNoServer)
 	<-last.ready
-	is.True(!m.hasPermit(last))
+	is.True(!last.hasPermit)
+}
+
+// A request whose wait ends without a permit must be rejected for the true reason: callers of a
+// limited owner are told when to return, and one that has left may be replaced soon.
+func TestEndOfWait(t *testing.T) {
+	for reason, change := range map[pickReason]func(m *ownerModel, b *backend){
+		pickOK:       func(m *ownerModel, b *backend) { m.finishRequest(b) },
+		pickAllFull:  func(*ownerModel, *backend) {},
+		pickLimited:  func(m *ownerModel, b *backend) { m.answered(b, &ResponseHeaders{Limit: 1, HasLimit: true}) },
+		pickNoServer: func(m *ownerModel, b *backend) { m.answered(b, &ResponseHeaders{Pause: time.Second}) },
+	} {
+		t.Run(string(reason), func(t *testing.T) {
+			is := is.New(t)
+			m := newOwnerModel(130)
+			_, b, _ := m.acquire(1, time.Second)
+			w, _, _ := m.acquire(1, time.Second)
+			change(m, b)
+			is.Equal(m.endWait(m.view, b, m.service, w, false), reason)
+			is.Equal(len(b.queue), 0)
+		})
+	}
+}
+
+// answered records an answer of the owner to a request that ends later.
+func (m *ownerModel) answered(b *backend, answer *ResponseHeaders) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applyNotices(b, answer, m.clock.Time, m.clock.Time)
 }
 
 // An owner that resets new connections has too many of them. It must count as full for a
@@ -146,7 +174,7 @@
 		if reason == pickOK {
 			running, end = b, m.clock.Time+50*time.Millisecond
 		} else if reason == pickQueued && !waits {
-			m.cancelWait(b, m.service, w)
+			m.endWait(m.view, b, m.service, w, false)
 		}
 	}
 	return served
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -374,12 +374,18 @@
 }
 
 // mayReceive reports whether a request that was chosen for the backend server earlier may be
-// sent to it now: it has not left, restarted or asked for a pause since.
+// sent to it now.
 func (s *Servers) mayReceive(view *directory.View, b *backend) bool {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyView(view)
+	return s.stillTakesRequests(b, now)
+}
+
+// stillTakesRequests reports whether a backend server that was chosen earlier has not left,
+// restarted or asked for a pause since. The caller holds s.mu.
+func (s *Servers) stillTakesRequests(b *backend, now time.Duration) bool {
 	return s.byID[b.process.Backend] == b && s.takesRequests(b, now) && !b.expired(now) && b.remainingPause(now) == 0
 }
 
@@ -389,24 +395,29 @@
 	return s.view.Usable(&b.Backend) && !s.hasLeft(b, now)
 }
 
-// hasPermit reports whether a waiter has received a permit.
-func (s *Servers) hasPermit(w *waiter) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return w.hasPermit
-}
-
-// cancelWait removes a waiter that gave up from the queue, or releases its permit if it
-// has one.
-func (s *Servers) cancelWait(b *backend, service *fleet.Service, w *waiter) {
+// endWait ends the wait of a request for a permit. It returns pickOK if the request has one and may
+// use it; moved says that it may not, since the owner of its key has changed. If not, it removes
+// the waiter from the queue, or releases its permit, and says why the request has none.
+func (s *Servers) endWait(view *directory.View, b *backend, service *fleet.Service, w *waiter, moved bool) pickReason {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w.hasPermit {
+	switch {
+	case w.hasPermit && !moved:
+		return pickOK
+	case w.hasPermit:
 		s.releasePermit(b, service, now)
-		return
+	default:
+		b.queue.remove(w)
+	}
+	s.applyView(view)
+	switch {
+	case moved || !s.stillTakesRequests(b, now):
+		return pickNoServer
+	case b.limitWait(now) > 0:
+		return pickLimited
 	}
-	b.queue.remove(w)
+	return pickAllFull
 }
 
 // releasePermit releases the permit of a request and gives it to the first waiter,
