Read the number of VMs without a lock

forward asks for it for each request (connections of a VM to a backend server), and for each request to and answer of a server with a notice, under the lock of the server states: share.Limiter took its own lock, which Take holds too, each time.

--- a/internal/share/limiter.go
+++ b/internal/share/limiter.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fireflyfield/internal/decay"
@@ -58,6 +59,8 @@
 	vm        string
 	tolerance Tolerance
 
+	count atomic.Int64 // of VMs in allotment
+
 	mu        sync.Mutex
 	allotment Allotment
 	members   Members
@@ -120,6 +123,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.allotment = a
+	l.count.Store(int64(a.Count))
 }
 
 // Current returns the newest members and allotment that were set.
@@ -138,24 +142,17 @@
 }
 
 // VMCount returns the number of VMs in the newest allotment, or assumedVMs before the
-// first one.
+// first one. It takes no lock, since it is asked for several times for each request.
 func (l *Limiter) VMCount() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.vmCount()
-}
-
-// vmCount returns the same as VMCount. The caller must hold the lock.
-func (l *Limiter) vmCount() int {
-	if l.allotment.Count == 0 {
-		return assumedVMs
+	if count := l.count.Load(); count > 0 {
+		return int(count)
 	}
-	return l.allotment.Count
+	return assumedVMs
 }
 
 // share returns this VM's share of a workspace's rate. The caller must hold the lock.
 func (l *Limiter) share(workspace string) float64 {
-	even := 1 / float64(l.vmCount())
+	even := 1 / float64(l.VMCount())
 	if l.index < 0 || l.members.Epoch != l.allotment.Epoch {
 		return even * unlistedFraction
 	}
@@ -171,7 +168,7 @@
 		// The allotment is based on a report of an earlier process of this VM, or on none.
 		return even * unlistedFraction
 	}
-	return entry.shareOf(float64(demand[workspace]), l.vmCount())
+	return entry.shareOf(float64(demand[workspace]), l.VMCount())
 }
 
 // Decision is the result of Take, with the limits on which it is based.
@@ -245,7 +242,7 @@
 	extra := l.tolerance.Factor*(w.Rate*l.tolerance.Window.Seconds()+w.Burst) + l.tolerance.Slack
 	extra *= burstTolerance
 	total := w.Burst + extra
-	activeVMs := max(l.allotment.Workspaces[w.Name].ActiveVMs, min(l.vmCount(), minActiveVMs))
+	activeVMs := max(l.allotment.Workspaces[w.Name].ActiveVMs, min(l.VMCount(), minActiveVMs))
 	floor := float64(burstFloor)
 	if l.overRate(w.Name) {
 		floor = overRateBurstFloor
