Keep the ports of backend servers that have ended in the soak

The fault is the soak's. The proxy of a backend server keeps its port now when it closes, with a bound socket that does not listen: connections are refused, and nobody else gets it. The checks stay as they are. TestEndedServerKeepsPort fails if the port is given back (a listener opens on it) and passes.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -144,8 +144,8 @@
 	if done != nil {
 		<-done
 	}
-	v.callerProxy.Close()
-	v.logProxy.Close()
+	v.callerProxy.Free()
+	v.logProxy.Free()
 }
 
 // backend is one backend server behind a proxy. A replacement has another ID and proxy.
@@ -158,6 +158,7 @@
 	mu      sync.Mutex
 	running *platformtest.RunningBackend
 	proxy   *Proxy
+	ended   []*Proxy // of earlier backend servers
 	alive   bool
 }
 
@@ -188,6 +189,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.proxy != nil {
+		b.ended = append(b.ended, b.proxy)
+	}
 	b.running, b.proxy, b.alive = running, proxy, true
 	return nil
 }
@@ -238,6 +242,17 @@
 	b.crashLocked()
 }
 
+// stop ends the backend server for good and gives back the ports of this one and of those before.
+func (b *backend) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crashLocked()
+	for _, p := range append(b.ended, b.proxy) {
+		p.Free()
+	}
+	b.ended = nil
+}
+
 // crashLocked is crash with the lock held.
 func (b *backend) crashLocked() {
 	if b.alive {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,6 +35,7 @@
 // back, refuse or reset them.
 type Proxy struct {
 	listener net.Listener
+	port     *heldPort
 	target   string
 
 	mu          sync.Mutex
@@ -65,12 +66,12 @@
 
 // NewPartitionedProxy is like NewProxy for a proxy whose connections a partition cuts.
 func NewPartitionedProxy(target string, partition *platformtest.Partition) (*Proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, port, err := listenHeld()
 	if err != nil {
 		return nil, err
 	}
 	listener = partition.Listen(listener)
-	p := &Proxy{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{listener: listener, port: port, target: target, conns: make(map[net.Conn]struct{})}
 	p.modeChanged = sync.NewCond(&p.mu)
 	go p.accept()
 	return p, nil
@@ -96,7 +97,13 @@
 	}
 }
 
-// Close stops listening and resets all open connections.
+// Free closes the proxy and gives its port back.
+func (p *Proxy) Free() {
+	p.Close()
+	p.port.release()
+}
+
+// Close stops listening and resets all open connections. The port stays taken.
 func (p *Proxy) Close() {
 	p.listener.Close() //nolint:errcheck // the proxy accepts no more connections either way
 	p.SetMode(Pass, 0) // ends the waits of copies that hold bytes back
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -386,7 +386,7 @@
 		v.kill()
 	}
 	for _, b := range s.backends {
-		b.crash()
+		b.stop()
 	}
 	if s.logServer != nil {
 		s.logServer.Close() //nolint:errcheck // the run is over
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -189,7 +190,7 @@
 	s := newSoak(Options{})
 	b := &backend{soak: s, service: "read", zone: zones[0]}
 	is.NoErr(b.start("read-0"))
-	defer b.crash()
+	defer b.stop()
 	b.currentBackend().SetLimit(4)
 	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP("127.0.1.9")}}).DialContext}}
 	response, err := client.Get("http://" + b.currentProxy().Address() + "/x")
@@ -200,3 +201,21 @@
 	is.Equal(arrivals[0].Source, "127.0.1.9")
 	is.True(!arrivals[0].AnsweredAt.IsZero())
 }
+
+// TestEndedServerKeepsPort guards against another process that is given the port of a backend server
+// which has ended: its answers count as those of the backend server, and break checks.
+func TestEndedServerKeepsPort(t *testing.T) {
+	is := is.New(t)
+	b := &backend{soak: newSoak(Options{}), service: "read", zone: zones[0]}
+	is.NoErr(b.start("read-0"))
+	address := b.currentProxy().Address()
+	b.crash()
+	_, err := net.Dial("tcp4", address)
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	_, err = net.Listen("tcp4", address)
+	is.True(errors.Is(err, syscall.EADDRINUSE))
+	b.stop()
+	listener, err := net.Listen("tcp4", address)
+	is.NoErr(err)
+	is.NoErr(listener.Close())
+}
