Spread one notice of a limit, whichever VMs publish it

gossip.PublishShared publishes a notice that is the same from any VM: it has no origin and its version comes from the caller. For limits that is the version which they have already, with the limit before the end. A table forgets a version with its retention, as forward does.

--- a/internal/forward/limit.go
+++ b/internal/forward/limit.go
@@ -40,9 +40,21 @@
 	Rate float64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Key returns the key of the notice; a later one of the same VM and process replaces it.
+// Key returns the key of the notice; a later one of the same process, of whatever VM, replaces it.
 func (n *LimitNotice) Key() string { return n.Backend + "/" + strconv.FormatInt(n.Started, 36) }
 
+// Order returns a number by which notices of a process replace each other. Of two with the same
+// version, which two VMs have published at a time, the one with a limit counts.
+func (n *LimitNotice) Order() uint64 { return limitOrder(n.Version, n.Named) }
+
+func limitOrder(version uint32, named bool) uint64 {
+	order := 2 * uint64(version)
+	if named {
+		order++
+	}
+	return order
+}
+
 func (n *LimitNotice) process() fleet.ProcessID {
 	return fleet.ProcessID{Backend: n.Backend, Started: n.Started}
 }
@@ -136,16 +148,9 @@
 	return l.version
 }
 
-// supersedes reports whether a notice counts against what is known of the limit. Of two notices
-// with the same version, which two VMs have published at a time, the one with a limit counts.
-func (n *LimitNotice) supersedes(l *requestLimit, now time.Duration) bool {
-	known := l.knownVersion(now)
-	return n.Version > known || n.Version == known && n.Named && !l.named
-}
-
 // apply records a notice of another VM, which was published at the given time, as in observe.
 func (l *requestLimit) apply(n *LimitNotice, publishedAt, now time.Duration, vms int, jitter float64) bool {
-	if !n.supersedes(l, now) {
+	if n.Order() <= limitOrder(l.knownVersion(now), l.named) {
 		return false
 	}
 	l.version, l.toldAt, l.toldRate = n.Version, publishedAt, n.Rate
--- a/internal/forward/limit_fleet_test.go
+++ b/internal/forward/limit_fleet_test.go
@@ -71,7 +71,7 @@
 	}}}
 	others := slices.Delete(slices.Clone(f.peers), i, i+1)
 	node := gossip.NewNode(f.clock, zap.NewNop(), rand.New(rand.NewPCG(uint64(f.clock.Time), uint64(i))), topics, func() []netip.AddrPort { return others })
-	vm.PublishLimit = func(n LimitNotice) { node.Publish(1, n.Key(), n) }
+	vm.PublishLimit = func(n LimitNotice) { node.PublishShared(1, n.Key(), n.Order(), n) }
 	f.nodes[i] = node
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -172,6 +172,26 @@
 	is.True(len(table.entries) <= maxNotices)
 }
 
+// TestSharedNotice guards against a copy of a notice for each VM that publishes it, against an older
+// one that undoes it, and against one that still counts when other VMs have dropped it.
+func TestSharedNotice(t *testing.T) {
+	is := is.New(t)
+	table := newTable(rand.New(rand.NewPCG(1, 1)), map[Topic]time.Duration{testTopic: time.Minute})
+	version := func() uint64 { return table.entries[noticeID{testTopic, sharedOrigin, "k"}].Version }
+	is.True(table.publishShared(testTopic, "k", 5, nil, 0))
+	is.True(table.publishShared(testTopic, "k", 5, nil, time.Second))
+	is.True(table.publishShared(testTopic, "k", 4, nil, time.Second))
+	is.True(!table.add(Notice{Topic: testTopic, Key: "k", Version: 5}, time.Second)) // of another VM
+	is.Equal(version(), uint64(5))
+	is.Equal(len(table.hot), 1)
+	is.True(table.publishShared(testTopic, "k", 6, nil, time.Second))
+	is.Equal(version(), uint64(6))
+	is.Equal(len(table.entries), 1)
+	is.True(table.publishShared(testTopic, "k", 1, nil, time.Second+time.Minute))
+	is.Equal(version(), uint64(1))
+	is.True(!table.publishShared(testTopic, "large", 1, make([]byte, maxMessageBytes), 0))
+}
+
 // TestLargeNotices guards against a notice that is too large for a datagram and holds up others, and
 // against notices that are never sent when many wait.
 func TestLargeNotices(t *testing.T) {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -76,6 +76,22 @@
 // Publish tells all other VMs of a notice, which replaces an earlier one with the same topic and
 // key. It returns at once.
 func (n *Node) Publish(topic Topic, key string, content any) {
+	n.publish(topic, content, func(encoded []byte, now time.Duration) bool {
+		return n.table.publish(topic, key, encoded, now)
+	})
+}
+
+// PublishShared is like Publish for a notice that any VM may publish. It replaces one with the same
+// topic and key and a lower version of whatever VM; if the version is known already, it tells
+// nobody. Of notices with the same version each VM keeps the first one.
+func (n *Node) PublishShared(topic Topic, key string, version uint64, content any) {
+	n.publish(topic, content, func(encoded []byte, now time.Duration) bool {
+		return n.table.publishShared(topic, key, version, encoded, now)
+	})
+}
+
+// publish encodes a notice and adds it to the table, or logs why it cannot be sent.
+func (n *Node) publish(topic Topic, content any, add func(encoded []byte, now time.Duration) bool) {
 	encoded, err := cbor.Marshal(content)
 	if err != nil {
 		n.log.Error("notice cannot be encoded", logfield.Error(err))
@@ -83,7 +99,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.table.publish(topic, key, encoded, n.clock.Now()) {
+	if !add(encoded, n.clock.Now()) {
 		n.log.Error("notice cannot be sent", zap.Uint8("topic", uint8(topic)), zap.Int("bytes", len(encoded)))
 	}
 }
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -39,7 +39,7 @@
 // Notice is what one VM states. A later notice of the VM with the same topic and key replaces it.
 type Notice struct {
 	Topic Topic `cbor:"1,keyasint"`
-	// Origin identifies the process that has published the notice.
+	// Origin identifies the process that has published the notice, or is sharedOrigin.
 	Origin  uint64 `cbor:"2,keyasint"`
 	Key     string `cbor:"3,keyasint"`
 	Version uint64 `cbor:"4,keyasint"`
@@ -96,20 +96,34 @@
 	return t.add(Notice{Topic: topic, Origin: t.origin, Key: key, Version: t.version, Content: content}, now)
 }
 
+// sharedOrigin is the origin of notices that any VM may publish.
+const sharedOrigin = 0
+
+// publishShared adds a notice that any VM may publish, and reports whether it can be sent or is
+// known already.
+func (t *table) publishShared(topic Topic, key string, version uint64, content []byte, now time.Duration) bool {
+	n := Notice{Topic: topic, Origin: sharedOrigin, Key: key, Version: version, Content: content}
+	return t.add(n, now) || t.knows(n, now)
+}
+
+// knows reports whether a notice or a newer one is known and within its retention.
+func (t *table) knows(n Notice, now time.Duration) bool {
+	known := t.entries[noticeID{n.Topic, n.Origin, n.Key}]
+	return known != nil && known.Version >= n.Version && now-known.publishedAt < t.retention[n.Topic]
+}
+
 // add adds a notice that is newer than the known one, and reports whether it is. The notice is
 // sent on then.
 func (t *table) add(n Notice, now time.Duration) bool {
 	if n.AgeMs < 0 || n.AgeMs >= t.retention[n.Topic].Milliseconds() || n.size() > maxMessageBytes {
 		return false
 	}
-	age := time.Duration(n.AgeMs) * time.Millisecond
-	id := noticeID{n.Topic, n.Origin, n.Key}
-	known := t.entries[id]
-	if known != nil && known.Version >= n.Version {
+	if t.knows(n, now) {
 		return false
 	}
+	age := time.Duration(n.AgeMs) * time.Millisecond
 	e := &entry{Notice: n, publishedAt: now - age, roundsLeft: rounds}
-	t.entries[id] = e
+	t.entries[noticeID{n.Topic, n.Origin, n.Key}] = e
 	t.hot = append(t.hot, e)
 	if len(t.entries) > maxNotices {
 		t.drop(now)
--- a/internal/router/notices.go
+++ b/internal/router/notices.go
@@ -107,7 +107,9 @@
 }
 
 // publishLimit tells all VMs of a limit that a backend server names.
-func (r *Router) publishLimit(n forward.LimitNotice) { r.gossip.Publish(topicLimit, n.Key(), n) }
+func (r *Router) publishLimit(n forward.LimitNotice) {
+	r.gossip.PublishShared(topicLimit, n.Key(), n.Order(), n)
+}
 
 // setGossipPeers sets the addresses to which notices are sent.
 func (r *Router) setGossipPeers(members []share.Member) {
