Apply a limit to a listed backend server whose notice was dropped

Notices of processes without news for 10 minutes are dropped when a new one is made, but the listed backend server keeps its own. A limit that another VM told then went to a new notice which the server did not have: the VM counted it nowhere and did not keep to it. This needs a server to which the VM sends nothing, as in another failure domain, and that has named a limit before.

forward.TestLimitAfterForgottenNotice failed (1 limited server instead of 2) and passes: the notice of a listed server is used, and kept again. go test -race ./internal/forward passes.

--- a/internal/forward/limit_fleet_test.go
+++ b/internal/forward/limit_fleet_test.go
@@ -283,3 +283,23 @@
 	m.ApplyLimitNotice(LimitNotice{Backend: process.Backend, Started: process.Started, Version: 1, Named: true, Rate: 4}, m.clock.Time)
 	is.Equal(m.LimitedCount(), 1)
 }
+
+// TestLimitAfterForgottenNotice guards against a limit that has no effect since the VM has dropped
+// an earlier notice of the process, to which it sends nothing.
+func TestLimitAfterForgottenNotice(t *testing.T) {
+	is := is.New(t)
+	m := newLimitModel(1, 1, false)
+	vm := m.vms[0]
+	vm.applyView(m.view)
+	tell := func(id string, version uint32, named bool) {
+		vm.ApplyLimitNotice(LimitNotice{Backend: id, Started: 1, Version: version, Named: named, Rate: 4}, m.clock.Time)
+	}
+	tell("b1", 1, true)
+	tell("b1", 2, false)
+	m.clock.Time += noticeRetention + time.Second
+	tell("b2", 1, true)
+	is.Equal(vm.LimitedCount(), 1)
+	tell("b1", 1, true)
+	is.Equal(vm.LimitedCount(), 2)
+	is.Equal(vm.byID["b1"].notice, vm.notices[vm.byID["b1"].Process()]) // also if it is listed again
+}
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -87,9 +87,6 @@
 	if limit.apply(&n, publishedAt, now, s.vms(), s.random.Float64()) {
 		s.logLimit(n.process(), limit, true)
 	}
-	if b := s.byID[n.Backend]; b != nil && b.Process() == n.process() {
-		s.ensureNotice(b, now)
-	}
 }
 
 // logLimit logs that a limit began or ended. told is set if another VM has told so.
@@ -102,25 +99,37 @@
 		zap.Bool("limited", limit.named), zap.Float64("limit", limit.rate), zap.Bool("told_by_vm", told))
 }
 
+// noticeOf returns the notice of a process, listed or not. The caller holds s.mu.
+func (s *Servers) noticeOf(process fleet.ProcessID, now time.Duration) *notice {
+	if b := s.byID[process.Backend]; b != nil && b.Process() == process {
+		s.ensureNotice(b, now)
+		return b.notice
+	}
+	return s.keptNotice(process, now)
+}
+
 // ensureNotice gives the backend server a notice if it has none. The caller holds s.mu.
 func (s *Servers) ensureNotice(b *backend, now time.Duration) {
 	if b.notice == nil {
-		b.notice = s.noticeOf(b.Process(), now)
+		b.notice = s.keptNotice(b.Process(), now)
+	}
+	if now-b.notice.updatedAt > noticeRetention {
+		s.notices[b.Process()] = b.notice // it may have been dropped
 	}
 	b.notice.updatedAt = now
 }
 
-// noticeOf returns the notice of a process, which it makes if there is none. The caller holds
-// s.mu.
-func (s *Servers) noticeOf(process fleet.ProcessID, now time.Duration) *notice {
-	known := s.notices[process]
-	if known == nil {
+// keptNotice returns the kept notice of a process, which it makes if there is none. The caller
+// holds s.mu.
+func (s *Servers) keptNotice(process fleet.ProcessID, now time.Duration) *notice {
+	kept := s.notices[process]
+	if kept == nil {
 		maps.DeleteFunc(s.notices, func(_ fleet.ProcessID, n *notice) bool { return now-n.updatedAt > noticeRetention })
-		known = &notice{}
-		s.notices[process] = known
+		kept = &notice{}
+		s.notices[process] = kept
 	}
-	known.updatedAt = now
-	return known
+	kept.updatedAt = now
+	return kept
 }
 
 // limitWait returns the time until this VM may send the backend server a request within the
