--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -29,7 +29,7 @@
 
 // Usage implements subcommands.Command.
 func (*soakCommand) Usage() string {
-	return `soak [-seed N] [-seeds COUNT] [-duration D] [-vms N] [-workers N] [-clients N] [-dir DIR]:
+	return `soak [-seed N] [-seeds COUNT] [-duration D] [-vms N] [-workers N] [-clients N] [-dir DIR] [-old PATH]:
   Runs VMs as separate processes on loopback against stand-ins, injects faults and
   checks what callers and backend servers see. Each seed is one run. The exit status
   is 1 if a check fails. Logs stay in DIR.
@@ -45,6 +45,7 @@
 	fs.IntVar(&c.options.VMs, "vms", 4, "number of VMs")
 	fs.IntVar(&c.options.BackendsPerService, "workers", 3, "backend servers of each of the three services")
 	fs.IntVar(&c.options.Clients, "clients", 8, "number of clients")
+	fs.StringVar(&c.options.OldBinary, "old", "", "executable of another version that the VMs run first, to be upgraded one after the other")
 	fs.StringVar(&c.options.Dir, "dir", "", "directory for settings and logs; a temporary one if empty")
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -43,6 +43,7 @@
 	process *exec.Cmd
 	done    chan struct{} // closed when the process has ended
 	killed  bool          // no process may be started any longer
+	old     bool          // the next process runs the old program
 }
 
 // portsPerVM is the number of adjacent ports of one VM: for callers, readiness, other VMs,
@@ -51,7 +52,7 @@
 
 // newVM starts the proxies and the process of a VM.
 func newVM(s *Soak, number int) (*vm, error) {
-	v := &vm{soak: s, name: fmt.Sprintf("vm-%d", number), sourceIP: fmt.Sprintf("127.0.%d.%d", 1+number/250, 1+number%250)}
+	v := &vm{soak: s, name: fmt.Sprintf("vm-%d", number), old: s.options.OldBinary != "", sourceIP: fmt.Sprintf("127.0.%d.%d", 1+number/250, 1+number%250)}
 	first, err := freeport.Adjacent(portsPerVM)
 	if err != nil {
 		return nil, err
@@ -81,11 +82,11 @@
 	if err != nil {
 		return err
 	}
-	process := exec.Command(v.soak.options.Binary, "route", "-settings", v.settingsPath, "-metrics-port", strconv.Itoa(v.metricsPort), "-source-ip", v.sourceIP)
-	process.Stdout, process.Stderr = out, out
-	done := make(chan struct{})
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	process := exec.Command(v.binary(), "route", "-settings", v.settingsPath, "-metrics-port", strconv.Itoa(v.metricsPort), "-source-ip", v.sourceIP)
+	process.Stdout, process.Stderr = out, out
+	done := make(chan struct{})
 	if v.killed {
 		return out.Close()
 	}
@@ -101,6 +102,22 @@
 	return nil
 }
 
+// binary returns the executable of the next process. The caller holds the lock.
+func (v *vm) binary() string {
+	if v.old {
+		return v.soak.options.OldBinary
+	}
+	return v.soak.options.Binary
+}
+
+// upgrade makes the VM run the new program, after a planned stop.
+func (v *vm) upgrade() {
+	v.mu.Lock()
+	v.old = false
+	v.mu.Unlock()
+	v.restart(syscall.SIGTERM, 0)
+}
+
 // signal sends a signal to the process, if there is one.
 func (v *vm) signal(signal syscall.Signal) {
 	v.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,9 @@
 type Options struct {
 	// Binary is the path of the executable that runs the VMs.
 	Binary string
+	// OldBinary, if not empty, is the executable that the VMs run first. They are stopped and
+	// started with Binary one after the other in the time of the faults.
+	OldBinary string
 	// Dir is the directory for the settings files and the logs of the VMs.
 	Dir                string
 	Seed               uint64        // of the faults and requests
@@ -130,6 +133,7 @@
 	notices.Go(func() { s.injectNotices(restores) })
 	notices.Go(func() { s.injectCuts(restores) })
 	notices.Go(func() { s.injectKeyedFaults(restores) })
+	notices.Go(func() { s.upgradeVMs(restores) })
 	notices.Go(func() { s.sendCrashing(restores, s.randomCrashingPath(), crashingInterval) })
 	go s.injectRestores(restores)
 	s.injectFaults(ctx)
@@ -148,6 +152,19 @@
 	return Result{Violations: s.violations, AnswerCounts: s.answerCounts, Events: s.events}, ctx.Err()
 }
 
+// upgradeVMs replaces the old program on one VM after the other, evenly spread over the time of
+// the faults. VMs that are left when ctx ends are replaced at once.
+func (s *Soak) upgradeVMs(ctx context.Context) {
+	if s.options.OldBinary == "" {
+		return
+	}
+	for _, v := range s.vms {
+		clock.Sleep(ctx, s.options.Duration/time.Duration(len(s.vms)+1))
+		s.recordEvent("%s is upgraded", v.name)
+		v.upgrade()
+	}
+}
+
 // newSoak returns a soak run that is not started.
 func newSoak(o Options) *Soak {
 	return &Soak{
