Keep SIGHUP from ending a process that stops

Cause: the channel for SIGHUP was removed when the stop began, and the default action of the signal ends the process. The same held before the first settings were read.

TestReloadDuringStop failed before (EOF) and passes: the process receives the signal from its first line to its end.

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -86,6 +86,9 @@
 // Execute implements subcommands.Command.
 func (c *routeCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	streams := streamsOf(args)
+	// SIGHUP ends a process that does not receive it, also one that starts or stops.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := platform.ReadSettings(c.settings)
 	if err != nil {
 		return fail(streams, err)
@@ -107,7 +110,7 @@
 	if err != nil {
 		return fail(streams, err)
 	}
-	go c.reloadSettings(ctx, r, logger)
+	go c.reloadSettings(ctx, hangup, r, logger)
 	if err := r.Run(ctx); err != nil {
 		logger.Error("the VM stopped because of an error", logfield.Error(err))
 		return fail(streams, err)
@@ -115,12 +118,9 @@
 	return subcommands.ExitSuccess
 }
 
-// reloadSettings reloads the settings file at each SIGHUP and whenever it has changed, until
+// reloadSettings reloads the settings file at each signal of hangup and whenever it has changed, until
 // the context ends. If the file is invalid, the previous settings stay in force.
-func (c *routeCommand) reloadSettings(ctx context.Context, r *router.Router, logger *zap.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func (c *routeCommand) reloadSettings(ctx context.Context, hangup <-chan os.Signal, r *router.Router, logger *zap.Logger) {
 	watcher := newFileWatcher(c.settings)
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -92,6 +92,30 @@
 	}
 }
 
+// TestReloadDuringStop guards against SIGHUP ending a process that stops: requests in flight would
+// get no answer.
+func TestReloadDuringStop(t *testing.T) {
+	s := newSoak(Options{Binary: buildBinary(t), Dir: t.TempDir(), VMs: 1, BackendsPerService: 1})
+	defer s.stop()
+	if err := s.start(); err != nil {
+		t.Fatal(err)
+	}
+	v := s.vms[0]
+	for _, b := range s.backends {
+		b.currentBackend().SetWorkTime(time.Second)
+	}
+	r := platformtest.Request{ID: "r", Method: http.MethodPost, Service: "pay", Path: "/", CallerKey: callerKey(0, 0), Deadline: 5 * time.Second}
+	answer := make(chan platformtest.Answer, 1)
+	go func() { answer <- platformtest.Send(http.DefaultClient, v.address(), r) }()
+	time.Sleep(300 * time.Millisecond)
+	v.signal(syscall.SIGTERM)
+	time.Sleep(300 * time.Millisecond)
+	v.signal(syscall.SIGHUP)
+	if a := <-answer; a.Err != nil || a.Status != http.StatusOK {
+		t.Errorf("status %d, error %v", a.Status, a.Err)
+	}
+}
+
 // TestPlannedStopCheck guards against a check of planned stops that finds nothing, or that
 // reports requests which a fault of the VM excuses.
 func TestPlannedStopCheck(t *testing.T) {
