--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -366,7 +366,7 @@
 	}
 	switch {
 	case !known:
-		s.addViolation("request %q runs but no client sent it", run.Request)
+		s.addViolation("request %q (%s %s at %s) runs but no client sent it", run.Request, run.Method, run.Path, run.Backend)
 	case sentRequest.Path != run.Path || sentRequest.Method != run.Method:
 		s.addViolation("request %s runs with another method or path: %s %s", run.Request, run.Method, run.Path)
 	case run.Tenant != fmt.Sprint("tenant-", tenant) || run.Authorization != "":
