Read all records of another writer before the next append

A lease holder whose topic another program has written to lost the assignment lease, and with it the leases on all keys, if the records did not fit into a few reads.

Cause: after an append at the wrong position the holder read one batch, at most 1 MB, and then waited for appendRetryInterval before it appended again, so 100 large records took 25 failed appends and more than AssignmentLeaseDuration.

The read after a failed append now goes on to the end of the topic. It keeps only as many records as the append has.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -565,38 +565,50 @@
 }
 
 // readBack finds out whether an append that failed has taken effect. It sets the position to
-// append at next, and the error to report if the records are not in the topic. Assignments of an
-// earlier era than the append are those of a delayed append, which no VM takes for a claim.
+// append at next, and the error to report if the records are not in the topic.
 func (l *Lessor) readBack(ctx context.Context, a *appendResult) {
 	a.newEnd = a.expectedEnd
-	batch, err := l.Log.Read(ctx, l.Topic, a.expectedEnd, 0)
-	if err != nil {
-		if errors.Is(err, sharedlog.ErrRestored) || errors.Is(err, sharedlog.ErrTrimmed) {
-			a.err = err
-		}
-		return
-	}
-	a.newEnd = batch.NextPosition()
-	for _, record := range batch.Records {
-		if record.Key == keyAssignment {
-			assignment, err := keyrange.Decode(record.Value)
-			if errors.Is(err, keyrange.ErrOtherFormat) || err == nil && assignment.Holder != l.Instance && assignment.Era >= a.expectedEnd.Era {
-				a.err = errNotHolder
+	var first []sharedlog.Record // of those at expectedEnd, as many as the append has
+	for more := true; more; {
+		batch, err := l.Log.Read(ctx, l.Topic, a.newEnd, 0)
+		if err != nil {
+			if errors.Is(err, sharedlog.ErrRestored) || errors.Is(err, sharedlog.ErrTrimmed) {
+				a.err = err
 				return
 			}
-			a.overwritten = err != nil
+			break
+		}
+		a.newEnd = batch.NextPosition()
+		if l.inspect(batch.Records, a) {
+			a.err = errNotHolder
+			return
 		}
+		first = append(first, batch.Records[:min(len(batch.Records), len(a.records)-len(first))]...)
+		more = len(batch.Records) > 0 && batch.Next < batch.End
 	}
 	// An earlier append at the same position may have records in common with this one.
-	applied := len(batch.Records) >= len(a.records) &&
-		slices.EqualFunc(batch.Records[:len(a.records)], a.records, func(x, y sharedlog.Record) bool {
-			return x.Key == y.Key && bytes.Equal(x.Value, y.Value)
-		})
-	if applied {
+	if slices.EqualFunc(first, a.records, func(x, y sharedlog.Record) bool { return x.Key == y.Key && bytes.Equal(x.Value, y.Value) }) {
 		a.err, a.readBack = nil, true
 	}
 }
 
+// inspect reports whether records that followed the expected end of an append have the claim of
+// another VM, and notes whether the last assignment in them is one of another program. Assignments
+// of an earlier era than the append are those of a delayed append, which no VM takes for a claim.
+func (l *Lessor) inspect(records []sharedlog.Record, a *appendResult) (otherHolder bool) {
+	for _, record := range records {
+		if record.Key != keyAssignment {
+			continue
+		}
+		assignment, err := keyrange.Decode(record.Value)
+		if errors.Is(err, keyrange.ErrOtherFormat) || err == nil && assignment.Holder != l.Instance && assignment.Era >= a.expectedEnd.Era {
+			return true
+		}
+		a.overwritten = err != nil
+	}
+	return false
+}
+
 // finishAppend processes the result of an append.
 func (l *Lessor) finishAppend(a appendResult) {
 	if a.claimed != nil {
--- a/internal/keylease/readback_test.go
+++ b/internal/keylease/readback_test.go
@@ -118,3 +118,38 @@
 		t.Errorf("%d grants are sent that are not recorded", len(calls))
 	}
 }
+
+// pagedLog returns at most maxBatch records from a read, as the shared log does with large records.
+type pagedLog struct{ *memoryLog }
+
+const maxBatch = 4
+
+func (l *pagedLog) Read(ctx context.Context, topic string, from sharedlog.Position, wait time.Duration) (sharedlog.Batch, error) {
+	batch, err := l.memoryLog.Read(ctx, topic, from, wait)
+	if len(batch.Records) > maxBatch {
+		batch.Records = batch.Records[:maxBatch]
+		batch.Next = from.Offset + maxBatch
+	}
+	return batch, err
+}
+
+// TestManyRecordsOfOtherWriter guards against a lease holder that loses the lease because it reads
+// the records of another program one batch for each failed append.
+func TestManyRecordsOfOtherWriter(t *testing.T) {
+	is := is.New(t)
+	fake := &clock.Fake{Time: time.Minute}
+	l, log := newUnansweredHolder(fake)
+	l.Log = &pagedLog{log.memoryLog}
+	const odd = 100
+	for range odd {
+		_, err := log.memoryLog.Append(t.Context(), "lease", []sharedlog.Record{{Key: "odd"}}, sharedlog.AnyEnd)
+		is.NoErr(err)
+	}
+	for lostAt := fake.Now() + AssignmentLeaseDuration; l.lease.topicEnd.Offset <= odd; fake.Time += appendRetryInterval {
+		if fake.Now() >= lostAt {
+			t.Fatalf("no append was accepted in %s, the holder has read %d of %d records", AssignmentLeaseDuration, l.lease.topicEnd.Offset, odd)
+		}
+		l.appendState(t.Context(), fake.Now())
+		l.finishAppend(<-l.appendResults)
+	}
+}
