Don't close a connection as idle while its answer is being written

Callers of a VM that stops, and other VMs that send requests by way of it, could get a cut answer: one that they read slowly, or one whose write had not begun yet.

Cause: a request no longer counts as in progress when its answer begins to be written, so CloseIdle took the connection for an idle one. During a stop it is called for connections of other VMs when no caller is connected any more, and for callers who connected while the last request of another VM was in progress. It also closed connections in the time in which input is discarded after the last answer, which can reset them before that answer is read.

A connection now ends after the answer that is being written; one whose last answer is known ends by itself.

TestCloseIdleDuringAnswer failed before (unexpected EOF) and passes 5 of 5 times, as do the other tests of the package 3 of 3 times.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -56,6 +56,9 @@
 	// being written. reading is set while a request is being read.
 	inProgress int
 	reading    bool
+	// writing is set while a response is being written, and closeAfterWrite if the connection
+	// ends after it unless a request has begun to arrive.
+	writing, closeAfterWrite bool
 	// closing is set once the last response is known; later requests are not answered.
 	closing bool
 }
@@ -201,6 +204,7 @@
 		last := c.finishRequest(p)
 		c.net.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:errcheck // a closed connection fails the write below
 		err := c.writeAnswer(answer, p.isHead, last)
+		c.endWrite()
 		answer.Done()
 		if err != nil {
 			closed = true
@@ -227,13 +231,14 @@
 	return err
 }
 
-// finishRequest ends a request and reports whether its response is the last one of the
-// connection. While the server drains, that is the response after which no further
+// finishRequest ends a request, whose response is written next, and reports whether that is the
+// last one of the connection. While the server drains, that is the response after which no further
 // request has begun to arrive.
 func (c *connection) finishRequest(p *pendingResponse) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inProgress--
+	c.writing = true
 	if p.last || c.server.draining.Load() && c.inProgress == 0 && !c.reading {
 		c.closing = true
 	}
@@ -252,6 +257,16 @@
 	c.net.SetReadDeadline(time.Now().Add(d)) //nolint:errcheck // a closed connection ends the reader by itself
 }
 
+// endWrite notes that a response has been written.
+func (c *connection) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	if c.closeAfterWrite {
+		c.closeLocked()
+	}
+}
+
 // closeIfIdle closes the connection at once if no byte of a request has been read and no
 // response is outstanding. A request that crosses the close was not read, so its caller
 // sends it again. Closing only the sending side would leave time to read a request that can
@@ -259,7 +274,17 @@
 func (c *connection) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inProgress == 0 && !c.reading {
+	c.closeLocked()
+}
+
+// closeLocked is closeIfIdle with the lock held. A connection whose last response is known ends by
+// itself; until then its caller may still read that response.
+func (c *connection) closeLocked() {
+	switch {
+	case c.closing || c.inProgress > 0 || c.reading:
+	case c.writing:
+		c.closeAfterWrite = true
+	default:
 		c.closing = true
 		c.net.Close() //nolint:errcheck // nothing is outstanding on the connection
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -264,6 +264,34 @@
 	is.True(response.Close)
 }
 
+// TestCloseIdleDuringAnswer guards against an answer that is cut off since its connection counts as
+// idle while the answer is being written: its caller reads slowly. The answer may be the last one
+// of the connection or not.
+func TestCloseIdleDuringAnswer(t *testing.T) {
+	const size = 16 << 20 // more than the buffers of the connection hold
+	for _, drainFirst := range []bool{true, false} {
+		is := is.New(t)
+		s, c, r := startServer(t, handlerFunc(func(context.Context, *forward.Request) *forward.Answer {
+			return &forward.Answer{Status: 200, Header: http.Header{}, Body: make([]byte, size)}
+		}))
+		if drainFirst {
+			s.Drain()
+		}
+		_, err := io.WriteString(c, getRequest("1"))
+		is.NoErr(err)
+		_, err = r.Peek(1) // the answer is being written
+		is.NoErr(err)
+		s.Drain()
+		s.CloseIdle()
+		_, body := readResponse(t, r)
+		is.Equal(len(body), size)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		s.Wait(ctx)
+		is.NoErr(ctx.Err()) // the connection has ended, although its caller keeps it open
+		cancel()
+	}
+}
+
 // The caller of a connection over the limit must get an answer that its request has not run,
 // not a closed connection.
 func TestConnectionLimit(t *testing.T) {
