Wait for requests of other VMs until the end of a stop

A request of another VM, which has no path to the backend servers, could be passed on by a VM that stops and be cut off with the process, one that may run once as well.

Cause: a stopping VM waits for its callers, then for requests of other VMs, then for callers who have connected meanwhile. It kept accepting requests of other VMs in this last part and exited when its last caller had an answer.

Both listeners are now closed at the same time, and both kinds of requests are waited for.

TestDetourWhileCallerEnds failed before (the VM had ended 0.4 s before the answer of a request that was running) and passes; TestCallerWhileDetourEnds, the other way round, passes as before.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -319,7 +319,7 @@
 	r.log.Info("started", zap.String("instance", r.options.Instance),
 		zap.String("failure_domain", r.options.Domain), zap.String("front", r.options.FrontListen))
 	<-ctx.Done()
-	r.stop(callers)
+	r.stop(callers, peers)
 	return nil
 }
 
@@ -380,7 +380,7 @@
 // request each, since a close could cross it. After drainDelay the VM rejects requests that
 // may last longer than its process, and exits when no connection is left or at the end of
 // the grace period.
-func (r *Router) stop(callers net.Listener) {
+func (r *Router) stop(callers, peers net.Listener) {
 	r.log.Info("stopping", zap.Int("connections", r.front.OpenConnections()))
 	r.stopping.Store(true)
 	r.front.Drain()
@@ -398,10 +398,14 @@
 	r.front.Wait(exit)
 	r.detourFront.CloseIdle()
 	r.detourFront.Wait(exit)
-	callers.Close() //nolint:errcheck // nothing is accepted any more
-	// Callers may have connected since the first wait.
+	// Nothing is accepted any more. Callers may have connected since the first wait, and other
+	// VMs since the second.
+	callers.Close() //nolint:errcheck // it is not used again
+	peers.Close()   //nolint:errcheck // the same
 	r.front.CloseIdle()
+	r.detourFront.CloseIdle()
 	r.front.Wait(exit)
+	r.detourFront.Wait(exit)
 	r.log.Info("stopped", zap.Int("connections", r.front.OpenConnections()))
 }
 
