Decide at each attempt whether a request can end before its VM does

A request that came early in a planned stop, and whose deadline lies after the end of the process, could be passed on seconds later and be cut off at work, one that may run once as well: after a wait for the owner of its key or for the rate of its workspace, or when a backend server had rejected it first.

Cause: whether there is time left was decided once, before the first wait.

The decision is now taken also after the wait for the rate, before each further attempt and when the connection for an attempt is ready. A request that may have run, or runs, is sent on as before, since its caller can't be told that it has not.

TestRepeatBeforeExit passes before and after: a repeat of an idempotent request is still made.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -66,7 +66,7 @@
 		if !retriable || !f.mayRetry(rs, number) {
 			return f.giveUp(rs)
 		}
-		if answer := f.rejectQuarantined(rs); answer != nil {
+		if answer := f.rejectUnsendable(rs); answer != nil {
 			return answer
 		}
 		if answer := f.detour(attempts, rs); answer != nil {
@@ -248,10 +248,13 @@
 	})
 	r := sendResult{b: b, hedge: hedge, event: AttemptEvent{Backend: b.process.Backend, SentAfter: now - rs.request.Received, Hedge: hedge}}
 	r.event.InFlight, r.event.ReportAge = f.Servers.estimate(b)
+	mayHaveRun := rs.mayHaveRun()
 	request := &upstream.Request{
 		ID: rs.call.ID, Method: rs.request.Method, Target: rs.request.Target, Host: rs.request.Host,
 		Header: header, Body: rs.request.Body, HasBody: rs.request.HasBody, Avoid: rs.conns,
-		Allowed: func() bool { return f.Servers.mayReceive(f.Directory.View(), b) && f.quarantined(rs) == 0 },
+		Allowed: func() bool {
+			return f.Servers.mayReceive(f.Directory.View(), b) && f.quarantined(rs) == 0 && (mayHaveRun || !f.outlivesProcess(rs))
+		},
 	}
 	f.Reach.Sent(b.process.Backend, now)
 	rs.tried = append(rs.tried, b.process.Backend)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -180,7 +180,7 @@
 		return answer
 	}
 	rs.fingerprint = rs.newFingerprint()
-	if answer := f.rejectQuarantined(rs); answer != nil {
+	if answer := f.rejectUnsendable(rs); answer != nil {
 		return answer
 	}
 	if answer := f.declineDetour(rs); answer != nil {
@@ -205,6 +205,29 @@
 	return exit != 0 && rs.deadline+answerMargin > exit
 }
 
+// rejectAtStop rejects a request that may still be in progress when the process ends, or returns
+// nil if it may be sent. A request that may have run is sent again, since its caller can't be told
+// that it has not.
+func (f *Forwarder) rejectAtStop(rs *requestState) *Answer {
+	if rs.mayHaveRun() || !f.outlivesProcess(rs) {
+		return nil
+	}
+	return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "vm-stops")
+}
+
+// rejectUnsendable rejects a request that may not be sent, or returns nil.
+func (f *Forwarder) rejectUnsendable(rs *requestState) *Answer {
+	if answer := f.rejectQuarantined(rs); answer != nil {
+		return answer
+	}
+	return f.rejectAtStop(rs)
+}
+
+// mayHaveRun reports whether a backend server may have run the request or runs it now.
+func (rs *requestState) mayHaveRun() bool {
+	return rs.runs > 0 || rs.outcomeUnknown || rs.lastResponse != nil
+}
+
 // admit checks that the request is not an attempt of a VM, the configuration's age, the route, the caller key and the rate. It
 // returns the rejection, or nil if the request is admitted.
 func (f *Forwarder) admit(ctx context.Context, rs *requestState) *Answer {
@@ -234,8 +257,8 @@
 		return f.reject(rs, http.StatusUnauthorized, "caller-key-unknown")
 	}
 	rs.deadline = rs.request.Received + f.timeLeft(rs)
-	if f.outlivesProcess(rs) {
-		return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "vm-stops")
+	if answer := f.rejectAtStop(rs); answer != nil {
+		return answer
 	}
 	if rs.detoured {
 		return nil // the VM that the caller is connected to has admitted it
