--- a/internal/forward/detour.go
+++ b/internal/forward/detour.go
@@ -216,7 +216,15 @@
 	if !rs.detoured || !f.Reach.Cut() {
 		return nil
 	}
-	answer := f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, reasonNoPath)
-	answer.Header.Set(headerDeclined, "1")
+	return f.decline(rs, reasonNoPath)
+}
+
+// decline rejects a request that this VM can't serve now. If it is of another VM, that one may
+// send it to a third.
+func (f *Forwarder) decline(rs *requestState, reason string) *Answer {
+	answer := f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, reason)
+	if rs.detoured {
+		answer.Header.Set(headerDeclined, "1")
+	}
 	return answer
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -212,7 +212,7 @@
 	if rs.mayHaveRun() || !f.outlivesProcess(rs) {
 		return nil
 	}
-	return f.rejectWithRetryAfter(rs, http.StatusServiceUnavailable, "vm-stops")
+	return f.decline(rs, "vm-stops")
 }
 
 // rejectUnsendable rejects a request that may not be sent, or returns nil.
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -117,3 +117,18 @@
 	f = newTestForwarder(t, true, serve, serve)
 	is.Equal(f.request(context.Background(), "1").Status, http.StatusOK)
 }
+
+// TestStoppingHelperDeclines guards against a caller of a VM without paths who is rejected since
+// the VM that was asked first stops, although others could serve the request.
+func TestStoppingHelperDeclines(t *testing.T) {
+	is := is.New(t)
+	f := newTestForwarder(t, false, respondSigned)
+	f.SetExit(clock.System{}.Now() + time.Second)
+	request := &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"X-Id": {"1"}}, Received: clock.System{}.Now()}
+	answer := PeerHandler{f.Forwarder}.Handle(context.Background(), request)
+	is.True(isStopRejection(answer))
+	is.Equal(answer.Header.Get(headerDeclined), "1")
+	answer = f.Handle(context.Background(), request)
+	is.True(isStopRejection(answer))
+	is.Equal(answer.Header.Get(headerDeclined), "") // callers don't see it
+}
