--- /dev/null
+++ b/internal/rulecheck/rules_core.go
@@ -0,0 +1,3 @@
+package main
+
+var coreRules = []rule{}
