--- a/internal/rulecheck/edit.go
+++ b/internal/rulecheck/edit.go
@@ -37,5 +37,8 @@
 	if err != nil {
 		return "", errors.Wrap(err, "encode the overlay")
 	}
-	return overlay, errors.Wrap(os.WriteFile(overlay, list, 0o600), "write the overlay")
+	if err := os.WriteFile(overlay, list, 0o600); err != nil {
+		return "", errors.Wrap(err, "write the overlay")
+	}
+	return overlay, nil
 }
--- a/internal/rulecheck/rules_test.go
+++ b/internal/rulecheck/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"go/parser"
 	"go/token"
+	"os"
 	"strings"
 	"testing"
 
@@ -45,3 +46,15 @@
 	_, err = readVerdict(strings.NewReader(`{"Action":"build-output","Output":"undefined: x"} {"Action":"build-fail"} {"Action":"fail"}`))
 	is.True(err != nil)
 }
+
+// TestOverlay guards against an overlay that does not take the rule out of the file, or fails.
+func TestOverlay(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	rules := allRules()
+	overlay, err := rules[0].writeOverlay("../..", dir)
+	is.NoErr(err)
+	content, err := os.ReadFile(overlay)
+	is.NoErr(err)
+	is.True(strings.Contains(string(content), dir))
+}
