Answer the requests that are in progress at the end of a stop

A caller who had sent requests ahead could lose an answer that was ready: it waited for that of an earlier request on the connection, whose backend server was still at work when the VM ended.

Cause: at the end of the grace period the process exits with whatever is in progress.

100 ms before the exit the requests that are in progress now end: with 502 if they may have run, or else with 503 and Retry-After. The answers behind them are written then. Late requests must end by that time, too. Requests of other VMs still end with their connection, so that an idempotent one is sent to a third VM.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -80,7 +80,10 @@
 type Forwarder struct {
 	Options
 
-	exitNs atomic.Int64 // monotonic time at which the process ends, in ns; 0 while unknown
+	exitNs atomic.Int64 // monotonic time of End, in ns; 0 while unknown
+	// ending ends when End is called.
+	ending context.Context
+	end    context.CancelFunc
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -104,8 +107,9 @@
 	if o.Reach == nil {
 		o.Reach = reach.NewMonitor()
 	}
+	ending, end := context.WithCancel(context.Background())
 	return &Forwarder{
-		Options: o, random: o.Random, routes: make(map[string]*routeState),
+		Options: o, ending: ending, end: end, random: o.Random, routes: make(map[string]*routeState),
 		budgets: make(map[string]*retry.Budget), keyCounts: make(map[string]map[int]int),
 	}
 }
@@ -186,6 +190,8 @@
 	if answer := f.declineDetour(rs); answer != nil {
 		return answer
 	}
+	ctx, stop := f.untilEnd(ctx, rs)
+	defer stop()
 	attempts, cancel := f.attemptContext(ctx, rs)
 	defer cancel()
 	if answer := f.detour(attempts, rs); answer != nil {
@@ -194,12 +200,33 @@
 	return f.runAttempts(ctx, attempts, rs)
 }
 
-// SetExit states when the process ends. From then on a request whose deadline lies later is
-// rejected, since its backend server could still be at work at the end: the caller may send
-// it to another VM at once.
+// SetExit states when End will be called. From now on a request whose deadline lies later is
+// rejected, since its backend server could still be at work then: the caller may send it to
+// another VM at once.
 func (f *Forwarder) SetExit(at time.Duration) { f.exitNs.Store(int64(at)) }
 
-// outlivesProcess reports whether a request may still be in progress when the process ends.
+// End ends the requests that are in progress, shortly before the process ends, so that the answers
+// behind them on their connections can be written. Those of other VMs are not ended: an idempotent
+// one that is cut off with its connection is sent to a third VM.
+func (f *Forwarder) End() {
+	f.SetExit(f.Clock.Now())
+	f.end()
+}
+
+// untilEnd returns a context that ends also with End, unless the request is of another VM.
+func (f *Forwarder) untilEnd(ctx context.Context, rs *requestState) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if rs.detoured {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(f.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// outlivesProcess reports whether a request may still be in progress at End.
 func (f *Forwarder) outlivesProcess(rs *requestState) bool {
 	exit := time.Duration(f.exitNs.Load())
 	return exit != 0 && rs.deadline+answerMargin > exit
@@ -302,14 +329,19 @@
 	return answer
 }
 
-// attemptContext returns the context of the attempts. A request that is not idempotent
-// continues when its caller leaves, since cancelling it would leave its outcome
-// unknown.
+// attemptContext returns the context of the attempts for a context of untilEnd. A request
+// that is not idempotent continues when its caller leaves, since cancelling it would leave
+// its outcome unknown.
 func (f *Forwarder) attemptContext(ctx context.Context, rs *requestState) (context.Context, context.CancelFunc) {
+	stop := func() {}
 	if !rs.route.Idempotent {
-		ctx = context.WithoutCancel(ctx)
+		ctx, stop = f.untilEnd(context.WithoutCancel(ctx), rs)
+	}
+	ctx, cancel := context.WithTimeout(ctx, rs.deadline-f.Clock.Now()+answerMargin)
+	return ctx, func() {
+		cancel()
+		stop()
 	}
-	return context.WithTimeout(ctx, rs.deadline-f.Clock.Now()+answerMargin)
 }
 
 // chooseService picks a target of the route by smooth weighted round-robin: over any
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -132,3 +132,29 @@
 	is.True(isStopRejection(answer))
 	is.Equal(answer.Header.Get(headerDeclined), "") // callers don't see it
 }
+
+// TestEndOfRequests guards against a request that is still at work at the end of the process and
+// gets no answer, so that the answers behind it on its connection are lost too, and against one
+// that is sent on then.
+func TestEndOfRequests(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		is := is.New(t)
+		var attempts atomic.Int64
+		atWork := make(chan struct{}, 2)
+		serve := func(_ http.ResponseWriter, r *http.Request) {
+			attempts.Add(1)
+			atWork <- struct{}{}
+			<-r.Context().Done()
+		}
+		f := newTestForwarder(t, idempotent, serve, serve)
+		answer := make(chan *Answer)
+		go func() { answer <- f.request(context.Background(), "1") }()
+		<-atWork
+		f.End()
+		a := <-answer
+		is.Equal(a.Status, http.StatusBadGateway)
+		is.Equal(string(a.Body), "outcome-unknown\n")
+		is.Equal(attempts.Load(), int64(1))
+		is.Equal(f.request(context.Background(), "2").Status, http.StatusServiceUnavailable)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -112,8 +112,10 @@
 	// and for garbage that is not collected yet.
 	requestMemoryFraction  = 0.2
 	responseMemoryFraction = 0.2
-	// stopMargin is how long before the end of the grace period the process exits.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is how long before the end of the grace period the process exits, and
+	// answerMargin how long before that the requests in progress are ended.
+	stopMargin   = 300 * time.Millisecond
+	answerMargin = 100 * time.Millisecond
 )
 
 // Router is one VM in route mode with its listeners, followers and background tasks.
@@ -379,7 +381,7 @@
 // closes each connection after its response. Idle connections stay open for one more
 // request each, since a close could cross it. After drainDelay the VM rejects requests that
 // may last longer than its process, and exits when no connection is left or at the end of
-// the grace period.
+// the grace period. Requests that are in progress then are ended shortly before.
 func (r *Router) stop(callers, peers net.Listener) {
 	r.log.Info("stopping", zap.Int("connections", r.front.OpenConnections()))
 	r.stopping.Store(true)
@@ -388,11 +390,12 @@
 	r.detourFront.Drain()
 	r.lessor.Stop()
 	grace := time.Duration(r.graceNs.Load()) - stopMargin
-	exitAt := r.clock.Now() + grace
+	endAt := r.clock.Now() + grace - answerMargin
 	exit, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
+	defer time.AfterFunc(grace-answerMargin, r.forwarder.End).Stop()
 	time.Sleep(min(drainDelay, grace/2))
-	r.forwarder.SetExit(exitAt)
+	r.forwarder.SetExit(endAt)
 	// This VM gets few new requests from here on, so the other VMs may have its shares.
 	r.collector.withdrawReport()
 	r.front.Wait(exit)
