End the wait for the owner of a key when the VM stops

A request that waits for the owner of its key went on waiting for up to a third of its time, although it would be rejected in the end, or was cut off without an answer at the end of the process.

Cause: the wait did not look at the end of the process. It now does at each look at the owner, 40 ms apart while there is none, and the request is rejected with 503 and Retry-After at once.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -437,6 +437,9 @@
 	started := f.Clock.Now()
 	until := started + (rs.deadline-started)/ownerWaitDivisor
 	for {
+		if answer := f.rejectAtStop(rs); answer != nil {
+			return nil, answer
+		}
 		tableChanged, viewChanged := f.Table.Changed(), f.Directory.Changed()
 		reason := pickNoServer
 		entry := f.Table.Find(rs.service.Name, rs.call.Key)
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -52,21 +52,38 @@
 		runs.Add(1)
 		respondSigned(w, r)
 	})
-	f.Directory.View().Config.Services[0].Keyed = true
+	answer := f.startOwnerWait()
+	f.SetExit(clock.System{}.Now() + time.Second)
+	f.assignAllKeys(t)
+	is.True(isStopRejection(<-answer))
+	is.Equal(runs.Load(), int64(0))
+}
+
+// startOwnerWait sends a request for a key that has no owner, and returns when it waits.
+func (s *testForwarder) startOwnerWait() <-chan *Answer {
+	s.Directory.View().Config.Services[0].Keyed = true
 	answer := make(chan *Answer)
-	go func() { answer <- f.keyedRequest("1") }()
+	go func() { answer <- s.keyedRequest("1") }()
 	waiting := func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return f.keyCounts["s"][7] > 0
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.keyCounts["s"][7] > 0
 	}
 	for !waiting() {
 		time.Sleep(time.Millisecond)
 	}
+	return answer
+}
+
+// TestOwnerWaitEndsAtStop guards against a request that waits for the owner of its key although it
+// will be rejected in the end, since its VM stops. At the end of the process it would be cut off.
+func TestOwnerWaitEndsAtStop(t *testing.T) {
+	is := is.New(t)
+	f := newTestForwarder(t, false, respondSigned)
+	answer := f.startOwnerWait()
 	f.SetExit(clock.System{}.Now() + time.Second)
-	f.assignAllKeys(t)
 	is.True(isStopRejection(<-answer))
-	is.Equal(runs.Load(), int64(0))
+	is.Equal((<-f.events).Reason, "vm-stops")
 }
 
 // TestLateRateBeforeExit guards against a request that waits for the rate of its workspace, and is
