Keep to the bounds of a short grace period in a stop

With a grace period under 2.4 s a stopping VM ended requests before its last sixth, although their backend servers might have answered in time; under 1.6 s it could also outlive the period while the shared log did not answer, and be killed with requests in progress.

Cause: the margins at the end were fixed, and the withdrawal of the VM's report had a time limit of its own. The margins now take at most a fifteenth of the period together, and the withdrawal ends with it. Nothing changes for periods of 6 s and more.

TestStopTimes failed before (an end at -400 ms for no grace period) and passes. TestStopBesideSilentLog failed before (1.09 s with a period of 0.6 s) and passes 3 of 3 times.

--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -269,9 +269,9 @@
 }
 
 // withdrawReport removes this VM's report from the shared log, so that its shares go to
-// the other VMs.
-func (c *collector) withdrawReport() {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+// the other VMs. It gives up when ctx ends.
+func (c *collector) withdrawReport(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	if _, err := c.router.options.Log.Append(ctx, c.router.options.ReportTopic, []sharedlog.Record{{Key: c.router.options.VM}}, sharedlog.AnyEnd); err != nil {
 		c.router.log.Info("report of this VM could not be removed", logfield.Error(err))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -113,9 +113,12 @@
 	requestMemoryFraction  = 0.2
 	responseMemoryFraction = 0.2
 	// stopMargin is how long before the end of the grace period the process exits, and
-	// answerMargin how long before that the requests in progress are ended.
-	stopMargin   = 300 * time.Millisecond
-	answerMargin = 100 * time.Millisecond
+	// answerMargin how long before that the requests in progress are ended. Of a short grace
+	// period they take the given parts: until its last sixth no request may be broken off.
+	stopMargin          = 300 * time.Millisecond
+	answerMargin        = 100 * time.Millisecond
+	stopMarginDivisor   = 20
+	answerMarginDivisor = 60
 )
 
 // Router is one VM in route mode with its listeners, followers and background tasks.
@@ -377,6 +380,20 @@
 	return netip.AddrPortFrom(parsed.Addr(), parsed.Port()+offset), err == nil
 }
 
+// stopTimes are times of a planned stop, from the stop signal.
+type stopTimes struct {
+	reject time.Duration // from when on requests that may last longer than end are rejected
+	end    time.Duration // when the requests in progress are ended
+	exit   time.Duration // when the process exits at the latest
+}
+
+// stopTimesOf returns the times of a stop with the given grace period.
+func stopTimesOf(grace time.Duration) stopTimes {
+	exit := grace - min(stopMargin, grace/stopMarginDivisor)
+	end := exit - min(answerMargin, grace/answerMarginDivisor)
+	return stopTimes{reject: min(drainDelay, exit/2), end: end, exit: exit}
+}
+
 // stop drains the VM: it reports itself as not ready, resigns the assignment lease, and
 // closes each connection after its response. Idle connections stay open for one more
 // request each, since a close could cross it. After drainDelay the VM rejects requests that
@@ -389,15 +406,15 @@
 	r.publishReach()
 	r.detourFront.Drain()
 	r.lessor.Stop()
-	grace := time.Duration(r.graceNs.Load()) - stopMargin
-	endAt := r.clock.Now() + grace - answerMargin
-	exit, cancel := context.WithTimeout(context.Background(), grace)
+	times := stopTimesOf(time.Duration(r.graceNs.Load()))
+	endAt := r.clock.Now() + times.end
+	exit, cancel := context.WithTimeout(context.Background(), times.exit)
 	defer cancel()
-	defer time.AfterFunc(grace-answerMargin, r.forwarder.End).Stop()
-	time.Sleep(min(drainDelay, grace/2))
+	defer time.AfterFunc(times.end, r.forwarder.End).Stop()
+	time.Sleep(times.reject)
 	r.forwarder.SetExit(endAt)
 	// This VM gets few new requests from here on, so the other VMs may have its shares.
-	r.collector.withdrawReport()
+	r.collector.withdrawReport(exit)
 	r.front.Wait(exit)
 	r.detourFront.CloseIdle()
 	r.detourFront.Wait(exit)
