Read the settings once more when a stop begins

A VM whose grace period became shorter shortly before its SIGTERM took the old one, so that the platform would have killed it with requests in progress.

Cause: SIGTERM ended the reload of settings, and whether a SIGHUP that came with it was handled before was left to chance; SIGTERM can overtake it too. The settings file is now read when the stop begins. A change during the stop has no effect on it, as before.

--- a/internal/cli/route.go
+++ b/internal/cli/route.go
@@ -110,16 +110,21 @@
 	if err != nil {
 		return fail(streams, err)
 	}
-	go c.reloadSettings(ctx, hangup, r, logger)
-	if err := r.Run(ctx); err != nil {
+	// A stop begins with the settings as they are then: they say how long it may take.
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	go func() {
+		defer stop()
+		c.reloadSettings(ctx, hangup, r, logger)
+	}()
+	if err := r.Run(run); err != nil {
 		logger.Error("the VM stopped because of an error", logfield.Error(err))
 		return fail(streams, err)
 	}
 	return subcommands.ExitSuccess
 }
 
-// reloadSettings reloads the settings file at each signal of hangup and whenever it has changed, until
-// the context ends. If the file is invalid, the previous settings stay in force.
+// reloadSettings reloads the settings file at each signal of hangup, whenever it has changed, and
+// when the context ends. If the file is invalid, the previous settings stay in force.
 func (c *routeCommand) reloadSettings(ctx context.Context, hangup <-chan os.Signal, r *router.Router, logger *zap.Logger) {
 	watcher := newFileWatcher(c.settings)
 	ticker := time.NewTicker(settingsCheckInterval)
@@ -127,6 +132,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			// SIGTERM may overtake a SIGHUP that was sent before it, and the file may have changed
+			// without any.
+			c.reload(r, logger)
 			return
 		case <-hangup:
 		case <-ticker.C:
@@ -134,11 +142,16 @@
 				continue
 			}
 		}
-		settings, err := platform.ReadSettings(c.settings)
-		if err != nil {
-			logger.Error("settings were not reloaded", logfield.Error(err))
-			continue
-		}
-		r.Reload(platform.RouterOptions(settings, "", logger))
+		c.reload(r, logger)
+	}
+}
+
+// reload reads the settings file and applies what may change while the VM runs.
+func (c *routeCommand) reload(r *router.Router, logger *zap.Logger) {
+	settings, err := platform.ReadSettings(c.settings)
+	if err != nil {
+		logger.Error("settings were not reloaded", logfield.Error(err))
+		return
 	}
+	r.Reload(platform.RouterOptions(settings, "", logger))
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -116,6 +118,40 @@
 	}
 }
 
+// TestReloadBeforeStop guards against a stop that takes the grace period of old settings, since
+// SIGTERM follows SIGHUP at once: the platform would kill the process.
+func TestReloadBeforeStop(t *testing.T) {
+	s := newSoak(Options{Binary: buildBinary(t), Dir: t.TempDir(), VMs: 6, BackendsPerService: 1})
+	defer s.stop()
+	if err := s.start(); err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range s.vms {
+		c, err := net.Dial("tcp4", v.address()) // keeps the process until the end of the grace period
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		content, err := os.ReadFile(v.settingsPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(v.settingsPath, []byte(strings.Replace(string(content), "graceS=6", "graceS=2", 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		v.signal(syscall.SIGHUP)
+		v.signal(syscall.SIGTERM)
+	}
+	limit := time.After(4 * time.Second)
+	for _, v := range s.vms {
+		select {
+		case <-v.done:
+		case <-limit:
+			t.Fatalf("%s still runs 4 s after its stop began, with a grace period of 2 s", v.name)
+		}
+	}
+}
+
 // TestPlannedStopCheck guards against a check of planned stops that finds nothing, or that
 // reports requests which a fault of the VM excuses.
 func TestPlannedStopCheck(t *testing.T) {
