--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -52,21 +52,38 @@
 		runs.Add(1)
 		respondSigned(w, r)
 	})
-	f.Directory.View().Config.Services[0].Keyed = true
+	answer := f.startOwnerWait()
+	f.SetExit(clock.System{}.Now() + time.Second)
+	f.assignAllKeys(t)
+	is.True(isStopRejection(<-answer))
+	is.Equal(runs.Load(), int64(0))
+}
+
+// startOwnerWait sends a request for a key that has no owner, and returns when it waits.
+func (s *testForwarder) startOwnerWait() <-chan *Answer {
+	s.Directory.View().Config.Services[0].Keyed = true
 	answer := make(chan *Answer)
-	go func() { answer <- f.keyedRequest("1") }()
+	go func() { answer <- s.keyedRequest("1") }()
 	waiting := func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return f.keyCounts["s"][7] > 0
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.keyCounts["s"][7] > 0
 	}
 	for !waiting() {
 		time.Sleep(time.Millisecond)
 	}
+	return answer
+}
+
+// TestOwnerWaitEndsAtStop guards against a request that waits for the owner of its key although it
+// will be rejected in the end, since its VM stops. At the end of the process it would be cut off.
+func TestOwnerWaitEndsAtStop(t *testing.T) {
+	is := is.New(t)
+	f := newTestForwarder(t, false, respondSigned)
+	answer := f.startOwnerWait()
 	f.SetExit(clock.System{}.Now() + time.Second)
-	f.assignAllKeys(t)
 	is.True(isStopRejection(<-answer))
-	is.Equal(runs.Load(), int64(0))
+	is.Equal((<-f.events).Reason, "vm-stops")
 }
 
 // TestLateRateBeforeExit guards against a request that waits for the rate of its workspace, and is
@@ -132,3 +149,29 @@
 	is.True(isStopRejection(answer))
 	is.Equal(answer.Header.Get(headerDeclined), "") // callers don't see it
 }
+
+// TestEndOfRequests guards against a request that is still at work at the end of the process and
+// gets no answer, so that the answers behind it on its connection are lost too, and against one
+// that is sent on then.
+func TestEndOfRequests(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		is := is.New(t)
+		var attempts atomic.Int64
+		atWork := make(chan struct{}, 2)
+		serve := func(_ http.ResponseWriter, r *http.Request) {
+			attempts.Add(1)
+			atWork <- struct{}{}
+			<-r.Context().Done()
+		}
+		f := newTestForwarder(t, idempotent, serve, serve)
+		answer := make(chan *Answer)
+		go func() { answer <- f.request(context.Background(), "1") }()
+		<-atWork
+		f.End()
+		a := <-answer
+		is.Equal(a.Status, http.StatusBadGateway)
+		is.Equal(string(a.Body), "outcome-unknown\n")
+		is.Equal(attempts.Load(), int64(1))
+		is.Equal(f.request(context.Background(), "2").Status, http.StatusServiceUnavailable)
+	}
+}
