--- a/internal/keylease/append_test.go
+++ b/internal/keylease/append_test.go
@@ -202,3 +202,27 @@
 	s.next()
 	s.is.True(s.pauseReads() == nil)
 }
+
+// TestFailedAssignmentIsRepeated guards against an assignment, or a heartbeat, that is not appended
+// again at once after it failed: its grants wait, and another VM claims the lease.
+func TestFailedAssignmentIsRepeated(t *testing.T) {
+	s := startHolder(t, &memoryLog{}, "first")
+	s.next()
+	s.finish()
+	for range 2 {
+		s.lease.core.Step(s.clock.Now(), s.Input())
+		s.pass(newServiceDelay)
+	}
+	s.is.True(s.lease.core.Version() > s.lease.core.accepted)
+	s.lease.nextHeartbeat = s.clock.Now() + time.Hour
+	s.log.setDisconnected(true)
+	s.next()
+	s.finish()
+	s.log.setDisconnected(false)
+	s.pass(appendRetryInterval)
+	before := s.heartbeats
+	s.next()
+	s.finish()
+	s.is.Equal(s.newest().Services["s"][0].Backend, "b")
+	s.is.Equal(s.heartbeats, before+1)
+}
--- a/internal/keylease/claim_test.go
+++ b/internal/keylease/claim_test.go
@@ -235,3 +235,17 @@
 		s.is.Equal(s.newest().Holder, "first")
 	})
 }
+
+// TestClaimAfterOwnAbandonment guards against a VM that gave up the lease and claims it again
+// before all others, since the lease was vacant when it claimed it first.
+func TestClaimAfterOwnAbandonment(t *testing.T) {
+	s := startHolder(t, &memoryLog{}, "first")
+	s.unfit = true
+	s.next()
+	s.is.True(s.lease == nil)
+	s.unfit = false
+	s.read()
+	s.expectClaim(false, "vacant")
+	s.pass(maxClaimJitter)
+	s.expectClaim(true, "vacant for long")
+}
--- a/internal/rulecheck/rules_directory.go
+++ b/internal/rulecheck/rules_directory.go
@@ -1,6 +1,9 @@
 package main
 
-const directoryFile = "internal/directory/directory.go"
+const (
+	directoryFile = "internal/directory/directory.go"
+	followFile    = "internal/directory/follow.go"
+)
 
 var directory = []string{"./internal/directory"}
 
@@ -41,4 +44,16 @@
 	{"restored log: departures are forgotten", directoryFile, "return now-removedAt > departedRetention", "return false", directory},
 	{"restored log: an older entry does not make a cold process warm", directoryFile, "next.ColdUntil = max(next.ColdUntil, known.ColdUntil)", "_ = known.ColdUntil", directory},
 	{"restored log: a later process does not inherit a cold start", directoryFile, "if restored && known.Started == next.Started {", "if restored {", directory},
+
+	{"follower: a batch from before the cursor is ignored", followFile, "if f.started && next.Before(f.next) {", "if false {", directory},
+	{"follower: the first batch is a snapshot", followFile, "if !f.started || next.Era > f.next.Era {\n\t\t\treturn", "if next.Era > f.next.Era {\n\t\t\treturn", directory},
+	{"follower: the first batch of a restored log is a snapshot", followFile, "if !f.started || next.Era > f.next.Era {\n\t\t\treturn", "if !f.started {\n\t\t\treturn", directory},
+	{"follower: records before the cursor are left out", followFile, "return r.Offset < f.next.Offset })", "return false })", directory},
+	{"follower: a restored log is noticed", followFile, "info.Restored = true", "info.Restored = false", directory},
+	{"follower: own records are applied at the cursor only", followFile, "if !f.started || f.next != at {", "if !f.started {", directory},
+	{"follower: own records are applied after a snapshot only", followFile, "if !f.started || f.next != at {", "if f.next != at {", directory},
+	{"follower: a failed read confirms nothing", followFile, "ConfirmedAt: sentAt - failedReadAge", "ConfirmedAt: sentAt", directory},
+	{"follower: a failure stays known after reads succeed", followFile, "f.failing = err != nil\n\tif f.failing {", "f.failing = err != nil\n\tif f.failedAt = 0; f.failing {", directory},
+	{"follower: a trimmed topic is read as a snapshot", followFile, "if !errors.Is(err, sharedlog.ErrTrimmed) && !errors.Is(err, sharedlog.ErrRestored) {", "if !errors.Is(err, sharedlog.ErrRestored) {", directory},
+	{"follower: a restored topic is read as a snapshot", followFile, "if !errors.Is(err, sharedlog.ErrTrimmed) && !errors.Is(err, sharedlog.ErrRestored) {", "if !errors.Is(err, sharedlog.ErrTrimmed) {", directory},
 }
--- a/internal/rulecheck/rules_lessor.go
+++ b/internal/rulecheck/rules_lessor.go
@@ -14,6 +14,7 @@
 	{"claim: a resigned lease is free without silence", lessorFile, `if current == nil || current.Holder == "" {`, `if current == nil {`, keylease},
 	{"claim: VMs claim a vacant lease at different times", lessorFile, "return now-l.vacantSince >= l.claimJitter()", "return true", keylease},
 	{"claim: each vacancy has a delay of its own", lessorFile, "\tl.vacantSince = 0\n\tif current.Address", "\tif current.Address", keylease},
+	{"claim: a vacancy before the own lease has no part in the next delay", lessorFile, "\tl.vacantSince = 0\n\tl.Logger.Info(\"assignment lease acquired\"", "\tl.Logger.Info(\"assignment lease acquired\"", keylease},
 	{"claim: none at an end that is known to be outdated", lessorFile, "if next.Before(l.lostAt) {", "if false {", keylease},
 	{"claim: none before the topic was read", lessorFile, "next.Offset == 0 && l.Table.neverRead() ||", "", keylease},
 	{"claim: none over a record that cannot be decoded", lessorFile, " || l.Table.undecodable.Load() {", " {", keylease},
@@ -54,6 +55,10 @@
 	{"append: the position of another claim is noted", lessorFile, "\t\tl.lostAt = a.newEnd\n", "", keylease},
 	{"append: the topic is read while others write to it", lessorFile, "l.setPaused(next == a.newEnd)", "_ = next\n\tl.setPaused(true)", keylease},
 
+	{"append: a failed heartbeat is repeated", lessorFile, "lease.nextHeartbeat, lease.recordedMembers = 0, nil\n\t\tl.Logger", "lease.recordedMembers = nil\n\t\tl.Logger", keylease},
+	{"append: a restored log is read at once", lessorFile, "\t\t\tl.setPaused(false) // reclaim follows", "\t\t\t// reclaim follows", keylease},
+	{"append: an assignment is appended until it is accepted", lessorFile, "\tif version > lease.core.accepted {\n", "\tif version > lease.core.accepted && lease.unanswered.first == 0 {\n", keylease},
+	{"append: a change of the assignment is appended at once", lessorFile, "due := now >= lease.nextHeartbeat || lease.core.Version() > lease.core.accepted", "due := now >= lease.nextHeartbeat", keylease},
 	{"resignation: none with an append in flight", lessorFile, "if lease.appending || lease.core.CallsInFlight() {", "if lease.core.CallsInFlight() {", keylease},
 	{"resignation: none with calls in flight", lessorFile, "if lease.appending || lease.core.CallsInFlight() {", "if lease.appending {", keylease},
 	{"resignation: uncertain grants are stated", lessorFile, `state.Holder, state.Unconfirmed = "", lease.core.HasUncertainGrants(l.Clock.Now())`, `state.Holder, state.Unconfirmed = "", false`, keylease},
