Forget uncertain grants to a process that has ended

Callers saw: keys without an owner for up to 3.9 s when a backend server leaves shortly after it got them from one whose address another process has taken over.

Cause: when another process answers at the owner's address, the range is freed at once, since the owner has ended with all its leases, but the time at which a lease by its unanswered grants may end stayed, and the release of the next owner waited for it.

TestUncertainGrantOfEndedProcess failed before ("at 1.55s: not held by c within 500ms").

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -662,6 +662,7 @@
 	if errors.Is(err, ErrOtherInstance) {
 		// The owner's process has ended, and with it all its leases.
 		c.avoidUntil[s.entry.Backend] = now + avoidDuration
+		s.uncertainUntil = min(s.uncertainUntil, now)
 		c.freeRange(s, "", 0, now, "owner restarted")
 		return
 	}
