--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -134,14 +134,15 @@
 	uncertainFence   int64
 	// confirmSent is set once a moving range was granted to its owner with a token above
 	// uncertainFence.
-	confirmSent   bool
-	nextCall      time.Duration
+	confirmSent bool
+	nextCall    time.Duration
+	// inFlight is set while a call for the range has no result. Until then the range keeps its
+	// owner and its token, and is neither split nor merged.
 	inFlight      bool
 	granted       bool   // the owner accepted a grant of the range
 	acceptedFence int64  // token of the grant that the owner accepted last; with it, further ones are renewals
 	handover      string // returned by the last owner's release, for the next owner
 	target        string // planned next owner
-	replaced      bool   // by a split or a merge
 }
 
 // Core decides on grants, releases and moves of key ranges. It does no I/O; the caller
@@ -518,14 +519,12 @@
 	for _, part := range s.entry.Range.Cut(r) {
 		piece := *s
 		piece.entry.Range = part
-		piece.inFlight = false // HandleResult drops the result of a call for s
 		pieces = append(pieces, &piece)
 		c.bumpVersion(&piece)
 		if part == r {
 			found = &piece
 		}
 	}
-	s.replaced = true
 	c.ranges[service] = slices.Replace(ranges, index, index+1, pieces...)
 	return found
 }
@@ -578,7 +577,6 @@
 		c.fence++
 		joined.entry.Fence = c.fence
 		joined.nextCall = 0
-		left.replaced, right.replaced = true, true
 		c.bumpVersion(&joined)
 		c.ranges[service] = slices.Replace(ranges, i-1, i+1, &joined)
 		return
@@ -650,55 +648,38 @@
 func (c *Core) HandleResult(call Call, handover string, err error, now time.Duration) {
 	s := call.state
 	s.inFlight = false
-	if call.Kind == CallGrant && !notApplied(err) {
-		c.extendLease(call, err, now)
-	}
-	if call.Grant.Confirm && err == nil {
-		s.confirm(call, now)
-	}
-	if s.replaced || s.entry.Fence != call.Grant.Fence || s.entry.Backend != call.Target.Backend {
-		return
-	}
-	if errors.Is(err, ErrOtherInstance) {
+	switch {
+	case errors.Is(err, ErrOtherInstance):
 		// The owner's process has ended, and with it all its leases.
 		c.avoidUntil[s.entry.Backend] = now + avoidDuration
 		s.uncertainUntil = min(s.uncertainUntil, now)
 		c.freeRange(s, "", 0, now, "owner restarted")
-		return
-	}
-	if call.Kind == CallRelease {
+	case call.Kind == CallRelease:
 		c.finishRelease(s, handover, err, now)
-		return
+	default:
+		s.noteGrant(call.Grant, err, now)
+		c.finishGrant(s, err, now)
 	}
-	c.finishGrant(s, err, now)
 }
 
 // notApplied reports whether a grant that failed with err has certainly not taken
 // effect and never will.
 func notApplied(err error) bool {
-	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrFenced) || errors.Is(err, ErrSessionLost) ||
-		errors.Is(err, ErrOtherInstance) || errors.Is(err, ErrRejected)
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrFenced) || errors.Is(err, ErrSessionLost) || errors.Is(err, ErrRejected)
 }
 
-// extendLease notes that the lease of a grant may start as late as now, also for the
-// pieces of a range that was split in the meantime.
-func (c *Core) extendLease(call Call, err error, now time.Duration) {
-	until := now + call.Grant.Hold + holdMargin
-	for _, s := range c.ranges[call.Service] {
-		if s.entry.Range.First > call.Grant.Range.Last || s.entry.Range.Last < call.Grant.Range.First {
-			continue
-		}
-		s.leasedUntil = max(s.leasedUntil, until)
-		if err != nil {
-			s.addUncertain(call.Target.Backend, call.Grant.Fence, until, now)
-		}
+// noteGrant notes that the lease of a grant may start as late as now. Once the owner has accepted
+// a confirming grant, it rejects all grants before it.
+func (s *rangeState) noteGrant(grant Grant, err error, now time.Duration) {
+	if notApplied(err) {
+		return
 	}
-}
-
-// confirm notes that a backend server has accepted a grant, so that it rejects those with lower
-// tokens from now on.
-func (s *rangeState) confirm(call Call, now time.Duration) {
-	if call.Target.Backend == s.uncertainBackend && call.Grant.Fence > s.uncertainFence {
+	until := now + grant.Hold + holdMargin
+	s.leasedUntil = max(s.leasedUntil, until)
+	switch {
+	case err != nil:
+		s.addUncertain(s.entry.Backend, grant.Fence, until, now)
+	case grant.Confirm:
 		s.uncertainUntil = min(s.uncertainUntil, now)
 	}
 }
@@ -749,9 +730,6 @@
 
 // finishRelease frees a range after a successful release call, or schedules a retry.
 func (c *Core) finishRelease(s *rangeState, handover string, err error, now time.Duration) {
-	if !s.entry.Moving {
-		return
-	}
 	if err != nil {
 		s.nextCall = now + callRetryInterval
 		return
