Remove the backend server of uncertain grants and checks that repeat others

- uncertainBackend, and that a confirming grant goes only to it: uncertain grants are always those to the owner.
- uncertainFence of a claim: the claim gives each owned range a token above the recorded ones.
- Renewal asked for granted beside the accepted token: each place that resets granted gives the range another token, and tokens are never given twice.
- setOwner reset granted and Moving, which freeRange has reset; stable asked for an owner, without which a range is not granted.
- the version of the pieces of a split: a piece that changes gets it from the change, and for the others the record of the whole range says the same.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -125,13 +125,12 @@
 	leasedUntil time.Duration
 	// uncertainUntil is the latest time at which a lease may end that was made by an
 	// unanswered grant, or by a predecessor that may still send calls. After a release the
-	// range gets no new owner before then, since such a grant may still take effect.
+	// range gets no new owner before then, since such a grant may still take effect. Those grants
+	// were sent to the owner: it changes only once they have no effect any more.
 	uncertainUntil time.Duration
-	// uncertainBackend is the backend server that those grants were sent to, empty if there are
-	// several, and uncertainFence their highest token. Once that backend server has accepted a
-	// higher token it rejects them.
-	uncertainBackend string
-	uncertainFence   int64
+	// uncertainFence is the token of the last unanswered grant. Once the owner has accepted a
+	// higher one it rejects that grant and those before it.
+	uncertainFence int64
 	// confirmSent is set once a moving range was granted to its owner with a token above
 	// uncertainFence.
 	confirmSent bool
@@ -232,10 +231,7 @@
 	c.fence = max(c.fence, recorded.Fence)
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
-			s := &rangeState{
-				service: service, entry: entry, leasedUntil: leasedUntil,
-				uncertainUntil: uncertainUntil, uncertainBackend: entry.Backend, uncertainFence: recorded.Fence,
-			}
+			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: uncertainUntil}
 			switch {
 			case restored:
 				s.entry, s.target = keyrange.Entry{Range: entry.Range}, entry.Backend
@@ -468,8 +464,8 @@
 func (c *Core) setOwner(s *rangeState, server Server, now time.Duration) {
 	c.fence++
 	s.entry.Backend, s.entry.Address, s.entry.Started = server.ID, server.Address, server.Started
-	s.entry.Fence, s.entry.Moving = c.fence, false
-	s.granted, s.target, s.nextCall = false, "", 0
+	s.entry.Fence = c.fence
+	s.target, s.nextCall = "", 0
 	c.recordChange(s, ChangeAssigned, now, "")
 	c.bumpVersion(s)
 }
@@ -520,7 +516,6 @@
 		piece := *s
 		piece.entry.Range = part
 		pieces = append(pieces, &piece)
-		c.bumpVersion(&piece)
 		if part == r {
 			found = &piece
 		}
@@ -571,9 +566,7 @@
 		joined := *left
 		joined.entry.Range.Last = right.entry.Range.Last
 		joined.leasedUntil = max(left.leasedUntil, right.leasedUntil)
-		if now < right.uncertainUntil {
-			joined.addUncertain(right.uncertainBackend, right.uncertainFence, right.uncertainUntil, now)
-		}
+		joined.uncertainUntil = max(left.uncertainUntil, right.uncertainUntil)
 		c.fence++
 		joined.entry.Fence = c.fence
 		joined.nextCall = 0
@@ -585,7 +578,7 @@
 
 // stable reports whether the range is granted, not moving and without a call in flight.
 func (s *rangeState) stable() bool {
-	return s.entry.Backend != "" && s.granted && !s.entry.Moving && !s.inFlight
+	return s.granted && !s.entry.Moving && !s.inFlight
 }
 
 // movingCount returns the number of ranges of a service that move to another owner for
@@ -632,7 +625,7 @@
 	}
 	call.Grant.Hold = RangeLeaseDuration
 	call.Grant.Handover = s.handover
-	call.Grant.Renewal = s.granted && s.acceptedFence == s.entry.Fence
+	call.Grant.Renewal = s.acceptedFence == s.entry.Fence
 	return call
 }
 
@@ -640,7 +633,7 @@
 // before it is asked for the release: a release ends the leases of uncertain grants for good only
 // if the owner has accepted a higher token.
 func (s *rangeState) confirmable(now time.Duration) bool {
-	return !s.confirmSent && now < s.uncertainUntil && s.uncertainBackend == s.entry.Backend
+	return !s.confirmSent && now < s.uncertainUntil
 }
 
 // HandleResult processes the result of a call that Step returned: err as the Granter
@@ -678,24 +671,12 @@
 	s.leasedUntil = max(s.leasedUntil, until)
 	switch {
 	case err != nil:
-		s.addUncertain(s.entry.Backend, grant.Fence, until, now)
+		s.uncertainUntil, s.uncertainFence = max(s.uncertainUntil, until), grant.Fence
 	case grant.Confirm:
 		s.uncertainUntil = min(s.uncertainUntil, now)
 	}
 }
 
-// addUncertain notes that a grant without an answer, with the given token, may make a lease of
-// the backend server that ends at until.
-func (s *rangeState) addUncertain(backend string, fence int64, until, now time.Duration) {
-	if now >= s.uncertainUntil {
-		s.uncertainBackend, s.uncertainFence = backend, 0
-	} else if s.uncertainBackend != backend {
-		s.uncertainBackend = ""
-	}
-	s.uncertainUntil = max(s.uncertainUntil, until)
-	s.uncertainFence = max(s.uncertainFence, fence)
-}
-
 // finishGrant updates a range after a grant call and schedules the next call.
 func (c *Core) finishGrant(s *rangeState, err error, now time.Duration) {
 	switch {
