--- a/internal/keylease/script_test.go
+++ b/internal/keylease/script_test.go
@@ -22,14 +22,16 @@
 	weight    keyrange.Weight
 	// fate decides what becomes of a call; nil for a prompt execution and answer.
 	fate func(Call) fate
-	// logDown keeps states from being recorded; record is the last one that was.
-	logDown  bool
-	record   *keyrange.Assignment
-	events   []event
-	sent     []Call
-	accepted map[int64]*process // by the token of a grant whose acceptance was read
-	owners   [keyrange.Parts]*process
-	fences   [keyrange.Parts]int64
+	// logDown keeps states from being recorded; record is the last one that was, and recorded its
+	// version. stopped keeps the core from making further calls.
+	logDown, stopped bool
+	record           *keyrange.Assignment
+	recorded         int64
+	events           []event
+	sent             []Call
+	accepted         map[int64]*process // by the token of a grant whose acceptance was read
+	owners           [keyrange.Parts]*process
+	fences           [keyrange.Parts]int64
 }
 
 // process is a simulated process of a backend server.
@@ -60,6 +62,7 @@
 
 var (
 	prompt        = fate{applies: scriptStep, answered: 2 * scriptStep}
+	unanswered    = fate{dropped: true, answered: grantTimeout, err: errUnanswered}
 	notSent       = fate{dropped: true, answered: scriptStep, err: ErrNotSent}
 	errUnanswered = errors.New("no answer")
 	lowKeys       = keyrange.Range{Last: keyrange.MaxKey / 2}
@@ -84,6 +87,7 @@
 		t: t, core: NewCore("vm", recorded, 0, 0, p),
 		processes: make(map[string]*process), accepted: make(map[int64]*process),
 	}
+	s.record = s.core.State()
 	for _, id := range []string{"a", "b", "c"} {
 		s.processes[id] = &process{id: id}
 		s.listed = append(s.listed, Server{ID: id, Address: id, Started: 1, Usable: id == "a", Capacity: 1})
@@ -136,13 +140,16 @@
 			e.run()
 		}
 	}
+	if s.stopped {
+		return
+	}
 	weight := func(string) *keyrange.Weight { return &s.weight }
 	for _, call := range s.core.Step(s.now, Input{Servers: map[string][]Server{"s": s.listed}, Weight: weight}) {
 		s.send(call)
 	}
-	if !s.logDown {
-		s.record = s.core.State().Clone()
-		s.core.SetAccepted(s.core.Version())
+	if v := s.core.Version(); !s.logDown && v != s.recorded {
+		s.record, s.recorded = s.core.State().Clone(), v
+		s.core.SetAccepted(v)
 	}
 }
 
--- a/internal/keylease/uncertain_test.go
+++ b/internal/keylease/uncertain_test.go
@@ -25,7 +25,7 @@
 	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", allKeys)...)
 	s.fate = func(call Call) fate {
 		if s.now < 100*time.Millisecond {
-			return fate{dropped: true, answered: grantTimeout, err: errUnanswered}
+			return unanswered
 		}
 		return prompt
 	}
