Keep the tokens of a lease holder whose log is restored

It requires that no other VM has acquired the lease in the part of the log that is lost, so the holder knows the highest token that was used, and goes on above it. A VM that claims the lease in the new era begins with the first token of that era, or above the recorded one, so above those of this holder.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -246,11 +246,10 @@
 }
 
 // Restored notes that the shared log was restored from an older copy and is now in the
-// given era. The whole state has to be recorded again, and new fencing tokens are those of
-// the era. No other instance may have acquired the lease in the part of the log that is
-// lost.
+// given era. The whole state has to be recorded again. No other instance may have acquired the
+// lease in the part of the log that is lost, so this one knows the highest token.
 func (c *Core) Restored(era int64) {
-	c.era, c.fence = era, max(c.fence, firstFence(era))
+	c.era = era
 	c.version++
 }
 
