--- a/internal/keylease/claim_test.go
+++ b/internal/keylease/claim_test.go
@@ -132,3 +132,13 @@
 		})
 	}
 }
+
+// TestProcessStartedSinceClaim guards against a key that another process of its owner gets with the
+// recorded token of the process before.
+func TestProcessStartedSinceClaim(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", allKeys)...)
+	s.runFor(500 * time.Millisecond)
+	s.restart("a", "a")
+	s.claim(0, Predecessor{Resigned: true, CallsUntil: s.now})
+	s.runUntil("held by a", 500*time.Millisecond, s.holds("a", allKeys))
+}
--- a/internal/keylease/merge_test.go
+++ b/internal/keylease/merge_test.go
@@ -58,3 +58,55 @@
 	s.list("b").Usable = true
 	s.runUntil("held by b", RangeLeaseDuration+500*time.Millisecond, s.holds("b", allKeys))
 }
+
+// TestTokenOfMergedRange guards against a key that another process of its owner gets with a lower
+// token, since two ranges are merged that were granted to different processes.
+func TestTokenOfMergedRange(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", lowKeys, highKeys)...)
+	s.fate = func(call Call) fate {
+		if call.Grant.Range == lowKeys && s.now < 200*time.Millisecond {
+			return notSent
+		}
+		return prompt
+	}
+	s.runFor(200 * time.Millisecond)
+	s.restart("a", "a")
+	s.runUntil("held by a", 2*time.Second, s.holds("a", allKeys))
+	s.runUntil("merged", 0, func() bool { return s.ranges() == 1 })
+}
+
+// TestMergeBesideRenewal guards against two backend servers that hold a key, since a range is merged
+// while a renewal of it is in flight, which takes effect late.
+func TestMergeBesideRenewal(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", lowKeys, highKeys)...)
+	renewal := fate{applies: 2500 * time.Millisecond, answered: grantTimeout, err: errUnanswered}
+	s.fate = func(call Call) fate {
+		switch {
+		case call.Grant.Range == lowKeys && s.now < 1100*time.Millisecond:
+			return notSent
+		case call.Grant.Range == highKeys && call.Grant.Renewal:
+			return renewal
+		}
+		return prompt
+	}
+	s.runFor(1200 * time.Millisecond)
+	s.runUntil("granted", 300*time.Millisecond, s.holds("a", lowKeys))
+	s.runFor(scriptStep) // reads the answer
+	s.leave("a", "b")
+	s.runFor(8 * time.Second)
+	s.runUntil("held by b", 0, s.holds("b", allKeys))
+}
+
+// TestRestartAfterEntryWithoutStart guards against keys that stay with a process that the catalogue
+// shows as ended, since their range was merged with one whose owner's start is not known.
+func TestRestartAfterEntryWithoutStart(t *testing.T) {
+	entries := ownedBy("a", lowKeys, highKeys)
+	entries[0].Started = 0
+	s := newScript(t, Predecessor{Resigned: true}, entries...)
+	s.runFor(500 * time.Millisecond)
+	s.restart("a", "a")
+	s.list("a").Started = 2
+	s.list("b").Usable = true
+	s.weight[0] = 1 // no plan moves keys
+	s.runUntil("held by b", 500*time.Millisecond, s.holds("b", highKeys))
+}
--- a/internal/keylease/script_test.go
+++ b/internal/keylease/script_test.go
@@ -10,8 +10,8 @@
 )
 
 // script drives a Core through a given order of events against simulated backend servers. It
-// fails the test when two of them hold a key, or work on it, and when a key goes to another
-// process without a higher token.
+// fails the test when two of them hold a key, when a key goes to another process without a higher
+// token, and when a grant is sent that the log has no record of.
 type script struct {
 	t      *testing.T
 	now    time.Duration
@@ -32,6 +32,8 @@
 	accepted         map[int64]*process // by the token of a grant whose acceptance was read
 	owners           [keyrange.Parts]*process
 	fences           [keyrange.Parts]int64
+	// cold is set when keys go to a backend server without the handover of the last owner.
+	cold bool
 }
 
 // process is a simulated process of a backend server.
@@ -156,6 +158,12 @@
 // send makes a call. A renewal goes to the process that accepted its grant.
 func (s *script) send(call Call) {
 	s.sent = append(s.sent, call)
+	if g := call.Grant; call.Kind == CallGrant {
+		e := s.record.Find(call.Service, g.Range.First)
+		if e.Backend != call.Target.Backend || e.Fence != g.Fence || e.Range.Last < g.Range.Last {
+			s.t.Fatalf("at %s: grant of %s with token %d to %s, recorded is %+v", s.now, g.Range, g.Fence, call.Target.Backend, *e)
+		}
+	}
 	to := s.processes[call.Target.Address]
 	if call.Grant.Renewal {
 		to = s.accepted[call.Grant.Fence]
@@ -173,11 +181,12 @@
 	case to == nil:
 		f = notSent
 	}
-	err, arrivedAt, core := f.err, s.now+f.arrives, s.core
+	err, handover, arrivedAt, core := f.err, "", s.now+f.arrives, s.core
 	if !f.dropped {
 		s.at(max(f.arrives, f.applies), func() {
-			if result := s.apply(to, call, arrivedAt); err == nil && !f.misread {
-				err = result
+			token, result := s.apply(to, call, arrivedAt)
+			if err == nil && !f.misread {
+				handover, err = token, result
 			}
 		})
 	}
@@ -185,22 +194,25 @@
 		if err == nil && call.Kind == CallGrant {
 			s.accepted[call.Grant.Fence] = to
 		}
-		core.HandleResult(call, "", err, s.now)
+		core.HandleResult(call, handover, err, s.now)
 	})
 }
 
 // apply executes a call that arrived at a process.
-func (s *script) apply(p *process, call Call, arrivedAt time.Duration) error {
+func (s *script) apply(p *process, call Call, arrivedAt time.Duration) (handover string, err error) {
 	switch {
 	case p.ended:
-		return errUnanswered
+		return "", errUnanswered
 	case p.id != call.Target.Backend:
-		return ErrOtherInstance
+		return "", ErrOtherInstance
 	case call.Kind == CallRelease:
+		if s.holds(p.id, call.Grant.Range)() {
+			handover = call.Grant.Range.String()
+		}
 		p.set(call.Grant.Range, 0)
-		return nil
+		return handover, nil
 	}
-	return s.grant(p, call.Grant, arrivedAt)
+	return "", s.grant(p, call.Grant, arrivedAt)
 }
 
 // grant executes a grant. The clock of the process runs 2% slow.
@@ -221,6 +233,7 @@
 		if s.owners[part] != nil && s.owners[part] != p && g.Fence <= s.fences[part] {
 			s.t.Fatalf("at %s: keys %d and on go to another process, %s, with token %d after %d", s.now, part*keyrange.PartSize, p.id, g.Fence, s.fences[part])
 		}
+		s.cold = s.cold || s.owners[part] != nil && s.owners[part].id != p.id && g.Handover == ""
 		s.owners[part], s.fences[part], p.seen[part] = p, max(g.Fence, s.fences[part]), g.Fence
 	}
 	p.set(g.Range, until)
@@ -247,6 +260,13 @@
 	s.processes[address] = &process{id: id}
 }
 
+// addLoad adds load to the first keys, so that some of them are to move from a busy owner.
+func (s *script) addLoad(load float64) {
+	for part := range 100 {
+		s.weight[part] += load
+	}
+}
+
 // holds reports whether a backend server holds all keys of a range.
 func (s *script) holds(id string, r keyrange.Range) func() bool {
 	return func() bool {
@@ -262,3 +282,18 @@
 
 // ranges returns the number of ranges.
 func (s *script) ranges() int { return len(s.core.State().Services["s"]) }
+
+// unownedFor runs the script for a time, and returns for how much of it a key was held by nobody.
+func (s *script) unownedFor(d time.Duration) time.Duration {
+	var without time.Duration
+	for end := s.now + d; s.now < end; {
+		s.step()
+		for part := range keyrange.Parts {
+			if p := s.owners[part]; p == nil || p.until[part] <= s.now {
+				without += scriptStep
+				break
+			}
+		}
+	}
+	return without
+}
