--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -125,23 +125,23 @@
 	leasedUntil time.Duration
 	// uncertainUntil is the latest time at which a lease may end that was made by an
 	// unanswered grant, or by a predecessor that may still send calls. After a release the
-	// range gets no new owner before then, since such a grant may still take effect.
+	// range gets no new owner before then, since such a grant may still take effect. Those grants
+	// were sent to the owner: it changes only once they have no effect any more.
 	uncertainUntil time.Duration
-	// uncertainBackend is the backend server that those grants were sent to, empty if there are
-	// several, and uncertainFence their highest token. Once that backend server has accepted a
-	// higher token it rejects them.
-	uncertainBackend string
-	uncertainFence   int64
+	// uncertainFence is the token of the last unanswered grant. Once the owner has accepted a
+	// higher one it rejects that grant and those before it.
+	uncertainFence int64
 	// confirmSent is set once a moving range was granted to its owner with a token above
 	// uncertainFence.
-	confirmSent   bool
-	nextCall      time.Duration
+	confirmSent bool
+	nextCall    time.Duration
+	// inFlight is set while a call for the range has no result. Until then the range keeps its
+	// owner and its token, and is neither split nor merged.
 	inFlight      bool
 	granted       bool   // the owner accepted a grant of the range
 	acceptedFence int64  // token of the grant that the owner accepted last; with it, further ones are renewals
 	handover      string // returned by the last owner's release, for the next owner
 	target        string // planned next owner
-	replaced      bool   // by a split or a merge
 }
 
 // Core decides on grants, releases and moves of key ranges. It does no I/O; the caller
@@ -231,10 +231,7 @@
 	c.fence = max(c.fence, recorded.Fence)
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
-			s := &rangeState{
-				service: service, entry: entry, leasedUntil: leasedUntil,
-				uncertainUntil: uncertainUntil, uncertainBackend: entry.Backend, uncertainFence: recorded.Fence,
-			}
+			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: uncertainUntil}
 			switch {
 			case restored:
 				s.entry, s.target = keyrange.Entry{Range: entry.Range}, entry.Backend
@@ -249,11 +246,10 @@
 }
 
 // Restored notes that the shared log was restored from an older copy and is now in the
-// given era. The whole state has to be recorded again, and new fencing tokens are those of
-// the era. No other instance may have acquired the lease in the part of the log that is
-// lost.
+// given era. The whole state has to be recorded again. No other instance may have acquired the
+// lease in the part of the log that is lost, so this one knows the highest token.
 func (c *Core) Restored(era int64) {
-	c.era, c.fence = era, max(c.fence, firstFence(era))
+	c.era = era
 	c.version++
 }
 
@@ -467,8 +463,8 @@
 func (c *Core) setOwner(s *rangeState, server Server, now time.Duration) {
 	c.fence++
 	s.entry.Backend, s.entry.Address, s.entry.Started = server.ID, server.Address, server.Started
-	s.entry.Fence, s.entry.Moving = c.fence, false
-	s.granted, s.target, s.nextCall = false, "", 0
+	s.entry.Fence = c.fence
+	s.target, s.nextCall = "", 0
 	c.recordChange(s, ChangeAssigned, now, "")
 	c.bumpVersion(s)
 }
@@ -518,14 +514,11 @@
 	for _, part := range s.entry.Range.Cut(r) {
 		piece := *s
 		piece.entry.Range = part
-		piece.inFlight = false // HandleResult drops the result of a call for s
 		pieces = append(pieces, &piece)
-		c.bumpVersion(&piece)
 		if part == r {
 			found = &piece
 		}
 	}
-	s.replaced = true
 	c.ranges[service] = slices.Replace(ranges, index, index+1, pieces...)
 	return found
 }
@@ -572,13 +565,10 @@
 		joined := *left
 		joined.entry.Range.Last = right.entry.Range.Last
 		joined.leasedUntil = max(left.leasedUntil, right.leasedUntil)
-		if now < right.uncertainUntil {
-			joined.addUncertain(right.uncertainBackend, right.uncertainFence, right.uncertainUntil, now)
-		}
+		joined.uncertainUntil = max(left.uncertainUntil, right.uncertainUntil)
 		c.fence++
 		joined.entry.Fence = c.fence
 		joined.nextCall = 0
-		left.replaced, right.replaced = true, true
 		c.bumpVersion(&joined)
 		c.ranges[service] = slices.Replace(ranges, i-1, i+1, &joined)
 		return
@@ -587,7 +577,7 @@
 
 // stable reports whether the range is granted, not moving and without a call in flight.
 func (s *rangeState) stable() bool {
-	return s.entry.Backend != "" && s.granted && !s.entry.Moving && !s.inFlight
+	return s.granted && !s.entry.Moving && !s.inFlight
 }
 
 // movingCount returns the number of ranges of a service that move to another owner for
@@ -634,7 +624,7 @@
 	}
 	call.Grant.Hold = RangeLeaseDuration
 	call.Grant.Handover = s.handover
-	call.Grant.Renewal = s.granted && s.acceptedFence == s.entry.Fence
+	call.Grant.Renewal = s.acceptedFence == s.entry.Fence
 	return call
 }
 
@@ -642,7 +632,7 @@
 // before it is asked for the release: a release ends the leases of uncertain grants for good only
 // if the owner has accepted a higher token.
 func (s *rangeState) confirmable(now time.Duration) bool {
-	return !s.confirmSent && now < s.uncertainUntil && s.uncertainBackend == s.entry.Backend
+	return !s.confirmSent && now < s.uncertainUntil
 }
 
 // HandleResult processes the result of a call that Step returned: err as the Granter
@@ -650,70 +640,42 @@
 func (c *Core) HandleResult(call Call, handover string, err error, now time.Duration) {
 	s := call.state
 	s.inFlight = false
-	if call.Kind == CallGrant && !notApplied(err) {
-		c.extendLease(call, err, now)
-	}
-	if call.Grant.Confirm && err == nil {
-		s.confirm(call, now)
-	}
-	if s.replaced || s.entry.Fence != call.Grant.Fence || s.entry.Backend != call.Target.Backend {
-		return
-	}
-	if errors.Is(err, ErrOtherInstance) {
+	switch {
+	case errors.Is(err, ErrOtherInstance):
 		// The owner's process has ended, and with it all its leases.
 		c.avoidUntil[s.entry.Backend] = now + avoidDuration
+		s.uncertainUntil = min(s.uncertainUntil, now)
 		c.freeRange(s, "", 0, now, "owner restarted")
-		return
-	}
-	if call.Kind == CallRelease {
+	case call.Kind == CallRelease:
 		c.finishRelease(s, handover, err, now)
-		return
+	default:
+		s.noteGrant(call.Grant, err, now)
+		c.finishGrant(s, err, now)
 	}
-	c.finishGrant(s, err, now)
 }
 
 // notApplied reports whether a grant that failed with err has certainly not taken
 // effect and never will.
 func notApplied(err error) bool {
-	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrFenced) || errors.Is(err, ErrSessionLost) ||
-		errors.Is(err, ErrOtherInstance) || errors.Is(err, ErrRejected)
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrFenced) || errors.Is(err, ErrSessionLost) || errors.Is(err, ErrRejected)
 }
 
-// extendLease notes that the lease of a grant may start as late as now, also for the
-// pieces of a range that was split in the meantime.
-func (c *Core) extendLease(call Call, err error, now time.Duration) {
-	until := now + call.Grant.Hold + holdMargin
-	for _, s := range c.ranges[call.Service] {
-		if s.entry.Range.First > call.Grant.Range.Last || s.entry.Range.Last < call.Grant.Range.First {
-			continue
-		}
-		s.leasedUntil = max(s.leasedUntil, until)
-		if err != nil {
-			s.addUncertain(call.Target.Backend, call.Grant.Fence, until, now)
-		}
+// noteGrant notes that the lease of a grant may start as late as now. Once the owner has accepted
+// a confirming grant, it rejects all grants before it.
+func (s *rangeState) noteGrant(grant Grant, err error, now time.Duration) {
+	if notApplied(err) {
+		return
 	}
-}
-
-// confirm notes that a backend server has accepted a grant, so that it rejects those with lower
-// tokens from now on.
-func (s *rangeState) confirm(call Call, now time.Duration) {
-	if call.Target.Backend == s.uncertainBackend && call.Grant.Fence > s.uncertainFence {
+	until := now + grant.Hold + holdMargin
+	s.leasedUntil = max(s.leasedUntil, until)
+	switch {
+	case err != nil:
+		s.uncertainUntil, s.uncertainFence = max(s.uncertainUntil, until), grant.Fence
+	case grant.Confirm:
 		s.uncertainUntil = min(s.uncertainUntil, now)
 	}
 }
 
-// addUncertain notes that a grant without an answer, with the given token, may make a lease of
-// the backend server that ends at until.
-func (s *rangeState) addUncertain(backend string, fence int64, until, now time.Duration) {
-	if now >= s.uncertainUntil {
-		s.uncertainBackend, s.uncertainFence = backend, 0
-	} else if s.uncertainBackend != backend {
-		s.uncertainBackend = ""
-	}
-	s.uncertainUntil = max(s.uncertainUntil, until)
-	s.uncertainFence = max(s.uncertainFence, fence)
-}
-
 // finishGrant updates a range after a grant call and schedules the next call.
 func (c *Core) finishGrant(s *rangeState, err error, now time.Duration) {
 	switch {
@@ -748,9 +710,6 @@
 
 // finishRelease frees a range after a successful release call, or schedules a retry.
 func (c *Core) finishRelease(s *rangeState, handover string, err error, now time.Duration) {
-	if !s.entry.Moving {
-		return
-	}
 	if err != nil {
 		s.nextCall = now + callRetryInterval
 		return
