Let new grants end before the assignment lease is given up

Backend servers saw a token that falls: a process started at an owner's address got keys with a lower token than the process before it had.

Cause: a VM without paths gives up the lease while its calls are in flight, each of which may be sent for another 0.7 s. Its successor grants the range at once under a higher token. If the process that accepted it is replaced before a grant of the first VM is sent, the new process does not know the higher token and accepts the lower one.

Now the lease is given up once no grant is in flight that is not a renewal, 0.7 s later at most. Renewals reach only the process that accepted their grant, and need no wait.

TestNewGrantAfterAbandonment failed before. TestCallAfterAbandonment checked the limit of a call that is in flight when the lease is given up; it does so for a renewal now, since a new grant can no longer be in flight then.

--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -140,6 +140,7 @@
 	renewedAt       time.Duration      // send time of the last accepted append
 	unanswered      unansweredAppends
 	appending       bool
+	newGrants       int // in flight, without renewals
 	nextHeartbeat   time.Duration
 	nextAppend      time.Duration
 	stoppingSince   time.Duration // when Stop was first noticed; 0 before
@@ -320,6 +321,9 @@
 	if r.lease != l.lease || l.lease == nil {
 		return
 	}
+	if r.call.isNewGrant() {
+		l.lease.newGrants--
+	}
 	now := l.Clock.Now()
 	if r.err != nil {
 		l.Logger.Warn("call for a key range failed", zap.String("backend", r.call.Target.Backend), zap.Uint8("call", uint8(r.call.Kind)),
@@ -457,13 +461,17 @@
 	}
 }
 
+// isNewGrant reports whether the call is a grant that is no renewal. It may reach a process that
+// started after it was decided.
+func (c *Call) isNewGrant() bool { return c.Kind == CallGrant && !c.Grant.Renewal }
+
 // sendBy returns the time after which a call that is decided on now must not be sent. A VM that
 // gives up the lease, and is suspended before it sends a call, sends it no later than others
 // expect. A grant that is no renewal is not sent once another VM may have claimed the lease: it
 // may reach a process that started since, and does not know the tokens of the new holder.
 func sendBy(call *Call, renewedAt, now time.Duration) time.Duration {
 	validFor := AssignmentLeaseDuration
-	if call.Kind == CallGrant && !call.Grant.Renewal {
+	if call.isNewGrant() {
 		validFor = ClaimAfter
 	}
 	return min(now+grantTimeout, renewedAt+validFor)
@@ -474,6 +482,9 @@
 func (l *Lessor) sendCall(ctx context.Context, call Call) {
 	lease := l.lease
 	call.Grant.SendBy = sendBy(&call, lease.renewedAt, l.Clock.Now())
+	if call.isNewGrant() {
+		lease.newGrants++
+	}
 	go func() {
 		r := callResult{call: call, lease: lease}
 		if call.Kind == CallRelease {
@@ -765,10 +776,12 @@
 
 // abandon gives up the lease of a VM that can make no calls, so that another VM claims it at once.
 // Calls of this VM may be in flight, so the successor treats the leases like those of a holder that
-// fell silent. If the record is not accepted, that is what this VM is to the others.
+// fell silent. If the record is not accepted, that is what this VM is to the others. Grants that are
+// no renewals are waited for: they might reach a process that starts after the successor has sent
+// higher tokens to the one before it.
 func (l *Lessor) abandon(ctx context.Context) {
 	lease := l.lease
-	if lease.appending {
+	if lease.appending || lease.newGrants > 0 {
 		return
 	}
 	state := l.state(lease.core)
