Confirm a moving range with a token that was not sent before

Two processes at an address could get keys with the same token.

Cause: if a range began to move while its first grant by a new lease holder was in flight, and the grant was accepted, the range was not marked as granted. The grant before the release, which opens a connection of its own, repeated the token, to a process that may have started since.

An accepted grant marks the range as granted now, whether it moves or not, so that the confirmation gets a new token.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -716,12 +716,14 @@
 
 // finishGrant updates a range after a grant call and schedules the next call.
 func (c *Core) finishGrant(s *rangeState, err error, now time.Duration) {
+	if err == nil {
+		s.granted, s.acceptedFence, s.handover = true, s.entry.Fence, ""
+	}
 	switch {
 	case s.entry.Moving:
 		// The range began to move while the call was in flight.
 		s.nextCall = now
 	case err == nil:
-		s.granted, s.acceptedFence, s.handover = true, s.entry.Fence, ""
 		s.nextCall = now + RenewInterval
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrRejected):
 		if s.granted {
--- a/internal/keylease/restart_test.go
+++ b/internal/keylease/restart_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"fireflyfield/internal/keyrange"
 )
 
 // TestPredecessorRepeatsGrantAfterRestart guards against a last holder, cut off from the log, that
@@ -29,3 +31,29 @@
 		m.runFor(8 * time.Second)
 	}
 }
+
+// TestConfirmationHasNewToken guards against two processes with the same token: a range began to move
+// while its first grant by a new lease holder was in flight, which was accepted, and the grant before
+// the release repeated its token to a process that started since.
+func TestConfirmationHasNewToken(t *testing.T) {
+	recorded := &keyrange.Assignment{Fence: 5, Services: map[string][]keyrange.Entry{
+		"s": {{Range: keyrange.Range{Last: keyrange.MaxKey}, Backend: "b", Address: "b", Started: 1, Fence: 5}},
+	}}
+	in := Input{Weight: noWeight, Servers: map[string][]Server{"s": {
+		{ID: "b", Address: "b", Started: 1, Usable: true, Capacity: 1}, {ID: "c", Address: "c", Started: 2, Usable: true, Capacity: 1},
+	}}}
+	now := time.Minute
+	c := NewCore("vm", recorded, 0, now, Predecessor{CallsUntil: now + AssignmentLeaseDuration})
+	first := c.Step(now, in)
+	in.Servers["s"][0].Usable = false
+	c.Step(now, in) // the range begins to move
+	c.HandleResult(first[0], "", nil, now)
+	var confirm []Call
+	for range 2 {
+		c.SetAccepted(c.Version())
+		confirm = append(confirm, c.Step(now, in)...)
+	}
+	if len(confirm) != 1 || !confirm[0].Grant.Confirm || confirm[0].Grant.Fence <= first[0].Grant.Fence {
+		t.Errorf("after a grant with token %d was accepted, the calls before the release are %+v", first[0].Grant.Fence, confirm)
+	}
+}
