Apply late grants of the lease model after they were given up

An answered call was marked by clearing the backend server of its target, which the check at the backend server then took for another process (ErrOtherInstance). So the case that a grant without an answer takes effect seconds later was not played.

--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -126,6 +126,7 @@
 	answeredAt time.Duration // when the caller learns the result, or gives up if lost is set
 	lost       bool
 	applied    bool
+	answered   bool // the caller has the result
 	err        error
 	// to is the process that receives the call, and toStarted the start of the process that the
 	// call is sent to: the one at the address, or that of the session of a grant.
@@ -310,7 +311,7 @@
 			p.applied = true
 			p.err = m.apply(p)
 		}
-		if m.now >= p.answeredAt && p.call.Target.Backend != "" {
+		if m.now >= p.answeredAt && !p.answered {
 			err := p.err
 			if p.lost {
 				err = fmt.Errorf("the response is lost")
@@ -321,10 +322,10 @@
 				p.session.fences[p.call.Grant.Fence] = true
 			}
 			p.core.HandleResult(p.call, "", err, m.now)
-			p.call.Target.Backend = "" // marks the call as answered
+			p.answered = true
 		}
 	}
-	m.pending = slices.DeleteFunc(m.pending, func(p pendingCall) bool { return p.applied && p.call.Target.Backend == "" })
+	m.pending = slices.DeleteFunc(m.pending, func(p pendingCall) bool { return p.applied && p.answered })
 }
 
 func (m *model) logf(format string, args ...any) {
