Send slow requests around the planned stops of a soak

The soak sent no requests late in a planned stop: its requests take 10 ms, and a VM whose callers keep no connection ends 2.8 s after the signal. Whether a stop ended within the grace period was not checked either.

TestStopTimeCheck guards the check of the time of stops.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -30,6 +30,8 @@
 	sourceIP    string
 	callerProxy *Proxy
 	logProxy    *Proxy
+	// detourAddress is HOST:PORT for requests of other VMs.
+	detourAddress string
 
 	// restarting is held while the process is ended and started again, so that a VM
 	// never has two processes.
@@ -59,6 +61,7 @@
 	}
 	front := fmt.Sprintf("127.0.0.1:%d", first)
 	v.readyAddress, v.metricsPort = fmt.Sprintf("127.0.0.1:%d", first+1), first+6
+	v.detourAddress = fmt.Sprintf("127.0.0.1:%d", first+5)
 	if v.callerProxy, err = NewProxy(front); err != nil {
 		return nil, err
 	}
@@ -133,8 +136,10 @@
 	defer v.restarting.Unlock()
 	defer v.disrupted.begin()()
 	ended := func() {}
+	stoppedAt := time.Now()
 	if signal == syscall.SIGTERM {
 		ended = v.stops.stop()
+		v.soak.sendLateRequests(v)
 	} else {
 		defer v.stops.faults.begin()()
 	}
@@ -144,6 +149,9 @@
 	v.mu.Unlock()
 	<-done
 	ended()
+	if signal == syscall.SIGTERM {
+		v.soak.checkStopTime(v, stoppedAt)
+	}
 	time.Sleep(delay)
 	if err := v.start(); err != nil {
 		v.soak.recordEvent("%s could not be restarted: %v", v.name, err)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -78,6 +78,9 @@
 	faultTimers []*time.Timer
 	faultEnds   []func()
 
+	plannedStops atomic.Int64   // number of planned stops that have begun
+	late         sync.WaitGroup // requests of sendLateRequests
+
 	// rewriting is held while the operator writes to the shared log, so that it writes
 	// again what a restore has lost in the order in which it was written.
 	rewriting sync.Mutex
@@ -149,6 +152,7 @@
 	s.runCutPhase(ctx)
 	stopClients()
 	wait.Wait()
+	s.late.Wait()
 	return Result{Violations: s.violations, AnswerCounts: s.answerCounts, Events: s.events}, ctx.Err()
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -279,3 +279,19 @@
 	is.NoErr(err)
 	is.NoErr(listener.Close())
 }
+
+// TestStopTimeCheck guards against a check of the time of planned stops that finds nothing, or that
+// reports stops which a fault of the VM delayed.
+func TestStopTimeCheck(t *testing.T) {
+	is := is.New(t)
+	s := newSoak(Options{})
+	v := &vm{soak: s, name: "vm"}
+	s.checkStopTime(v, time.Now().Add(-gracePeriod))
+	is.Equal(len(s.violations), 0)
+	stoppedAt := time.Now().Add(-gracePeriod - 2*stopSlack)
+	s.checkStopTime(v, stoppedAt)
+	is.Equal(len(s.violations), 1)
+	v.stops.faults.begin()()
+	s.checkStopTime(v, stoppedAt)
+	is.Equal(len(s.violations), 1)
+}
