Reject a request head that stops within a line as late, not as malformed

A caller whose request head stopped in the middle of a line until its time was over was answered 400, which tells callers not to send the request again; at the end of a line it was 408.

Cause: the parser reports the part of a line as malformed and hides the timeout of the read.

The new case of TestInvalidRequests failed before (400) and passes.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -130,6 +130,7 @@
 		{"large head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n", 431},
 		{"endless head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20000), 431},
 		{"slow head", "GET / HTTP/1.1\r\n", 408},
+		{"slow line of the head", "GET / HTTP/1.1\r\nHos", 408},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -67,6 +67,9 @@
 	received := c.server.Clock.Now()
 	c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) //nolint:errcheck // a closed connection fails the read below
 	r, err := http.ReadRequest(c.reader)
+	if err != nil && isTimeout(c.limitedReader.Err) {
+		err = c.limitedReader.Err // instead of what is wrong with the part of a line that has arrived
+	}
 	if err != nil {
 		return nil, headError(err)
 	}
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -16,6 +16,9 @@
 type Reader struct {
 	Source    io.Reader
 	Remaining int64
+	// Err is the error of the last read from Source. Parsers may return another one for what
+	// they read before it.
+	Err error
 }
 
 // Read implements io.Reader. It returns ErrExceeded once the limit is reached.
@@ -26,7 +29,8 @@
 	if int64(len(p)) > r.Remaining {
 		p = p[:r.Remaining]
 	}
-	n, err := r.Source.Read(p)
+	var n int
+	n, r.Err = r.Source.Read(p)
 	r.Remaining -= int64(n)
-	return n, err
+	return n, r.Err
 }
