--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -177,7 +177,7 @@
 }
 
 // eraFences is the number of fencing tokens of one era of the shared log. A restored log
-// does not say how many tokens were used since the copy, so each era has tokens of its own.
+// does not say how many tokens were used since the copy, so a claim begins with those of its era.
 // An era of days, with thousands of moves a second, stays far below it.
 const eraFences = int64(1) << 32
 
