--- a/internal/keylease/move_test.go
+++ b/internal/keylease/move_test.go
@@ -186,3 +186,19 @@
 		}
 	}
 }
+
+// TestUnansweredRelease guards against a key that is given on while its last owner is at work, since
+// the answer to the release, which waits for that work, does not come in time.
+func TestUnansweredRelease(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", allKeys)...)
+	s.runFor(500 * time.Millisecond)
+	s.leave("a", "b")
+	s.fate = func(call Call) fate {
+		if call.Kind == CallRelease {
+			return fate{applies: releaseTimeout + time.Second, answered: releaseTimeout, err: errUnanswered}
+		}
+		return prompt
+	}
+	s.runFor(5 * time.Second)
+	s.runUntil("held by b", 0, s.holds("b", allKeys))
+}
