Answer requests that are still arriving at the end of a stop

A caller whose request was still arriving when its VM ended saw its connection break off, and could not tell whether the request had run.

Cause: nothing ended the reading of requests before the process did. 100 ms before the exit they are now answered 503 with Retry-After and the end of the connection. They have not run.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -149,6 +149,15 @@
 	c.reading = true
 }
 
+// endReading ends the reading of a request.
+func (c *connection) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.stopReading(0)
+	}
+}
+
 // startRequest counts a request that was read and returns true, unless the last response of
 // the connection is known. A request behind that response counts as not read; its caller
 // sends it again on another connection.
@@ -181,6 +190,9 @@
 	if !c.startRequest() {
 		return
 	}
+	if e.status == http.StatusRequestTimeout && c.server.ending.Load() {
+		e = &requestError{http.StatusServiceUnavailable, "vm-stops"}
+	}
 	p := &pendingResponse{answer: make(chan *forward.Answer, 1), last: true}
 	header := http.Header{}
 	if e.status == http.StatusServiceUnavailable {
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -66,6 +66,10 @@
 	c.beginReading()
 	received := c.server.Clock.Now()
 	c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) //nolint:errcheck // a closed connection fails the read below
+	// The new deadline may have replaced that of EndReading.
+	if c.server.ending.Load() {
+		c.stopReading(0)
+	}
 	r, err := http.ReadRequest(c.reader)
 	if err != nil && isTimeout(c.limitedReader.Err) {
 		err = c.limitedReader.Err // instead of what is wrong with the part of a line that has arrived
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -41,6 +41,7 @@
 	Memory *membudget.Budget
 
 	draining atomic.Bool
+	ending   atomic.Bool
 	mu       sync.Mutex
 	conns    map[*connection]struct{}
 	active   sync.WaitGroup
@@ -115,6 +116,17 @@
 	}
 }
 
+// EndReading rejects the requests that are still arriving, so that their callers know that they
+// have not run.
+func (s *Server) EndReading() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.endReading()
+	}
+}
+
 // OpenConnections returns the number of open connections.
 func (s *Server) OpenConnections() int {
 	s.mu.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -410,7 +410,7 @@
 	endAt := r.clock.Now() + times.end
 	exit, cancel := context.WithTimeout(context.Background(), times.exit)
 	defer cancel()
-	defer time.AfterFunc(times.end, r.forwarder.End).Stop()
+	defer time.AfterFunc(times.end, r.endRequests).Stop()
 	time.Sleep(times.reject)
 	r.forwarder.SetExit(endAt)
 	// This VM gets few new requests from here on, so the other VMs may have its shares.
@@ -429,6 +429,14 @@
 	r.log.Info("stopped", zap.Int("connections", r.front.OpenConnections()))
 }
 
+// endRequests ends the requests that are in progress or still arriving, so that their callers get
+// an answer.
+func (r *Router) endRequests() {
+	r.forwarder.End()
+	r.front.EndReading()
+	r.detourFront.EndReading()
+}
+
 // serveHTTP opens a listener and serves it in the background. It returns an error if the
 // listener cannot be opened.
 func (r *Router) serveHTTP(address string, handler http.Handler) error {
