--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// TestSecondStopSignal guards against a second SIGTERM that ends a process which stops: requests in
+// flight would get no answer.
+func TestSecondStopSignal(t *testing.T) {
+	s := newSoak(Options{Binary: buildBinary(t), Dir: t.TempDir(), VMs: 1, BackendsPerService: 1})
+	defer s.stop()
+	if err := s.start(); err != nil {
+		t.Fatal(err)
+	}
+	v := s.vms[0]
+	r := platformtest.Request{ID: "r", Method: http.MethodPost, Service: "pay", Path: "/", CallerKey: callerKey(0, 0), Deadline: 5 * time.Second, Work: 1500 * time.Millisecond}
+	answer := make(chan platformtest.Answer, 1)
+	go func() { answer <- platformtest.Send(http.DefaultClient, v.address(), r) }()
+	for range 3 {
+		time.Sleep(300 * time.Millisecond)
+		v.signal(syscall.SIGTERM)
+	}
+	if a := <-answer; a.Err != nil || a.Status != http.StatusOK {
+		t.Errorf("status %d, error %v", a.Status, a.Err)
+	}
+}
+
 // TestReloadBeforeStop guards against a stop that takes the grace period of old settings, since
 // SIGTERM follows SIGHUP at once: the platform would kill the process.
 func TestReloadBeforeStop(t *testing.T) {
