Ask an owner for a release only after a grant on a connection of its own

Two backend servers could hold a key: a backend server that wrote its answer to a renewal once more, before it applied the next renewal late, was taken to have applied that one. A release ended its lease, the keys went to another one, and then the renewal took effect.

All grants of a range now count as uncertain, accepted ones too, until its owner accepts a confirming grant, which has a new token and a connection of its own. Each move sends one before its release, so that its token is recorded first; the owner serves the keys meanwhile. After a resignation the leases of the last holder are uncertain as well. What a resignation states still depends on unanswered grants only.

TestAnswerOfEarlierRenewal and TestRenewalBeforeResignation failed before ("keys 0 and on are held by b until 5.16s and by a"). Three tests of today rested on a release that is final without a confirming grant, from an owner that takes no grants: TestMoveAfterResignation and TestMoveOfConfirmedRange now allow 150 ms for a move with that grant (500 ms and 100 ms without); in TestUncertainGrantOfEndedProcess the next owner takes grants.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -123,14 +123,17 @@
 	// leasedUntil is the latest time at which a key range lease of any backend server on
 	// the range may end.
 	leasedUntil time.Duration
-	// uncertainUntil is the latest time at which a lease may end that was made by an
-	// unanswered grant, or by a predecessor that may still send calls. After a release the
-	// range gets no new owner before then, since such a grant may still take effect. Those grants
-	// were sent to the owner: it changes only once they have no effect any more.
+	// uncertainUntil is the latest time at which a lease may end that was made by a grant which may
+	// still take effect, of this VM or of a predecessor. After a release the range gets no new owner
+	// before then. An accepted grant is one of them too, unless it was sent on a connection of its
+	// own: the answer may be that to an earlier grant. Those grants were sent to the owner: it
+	// changes only once they have no effect any more.
 	uncertainUntil time.Duration
-	// uncertainFence is the token of the last unanswered grant. Once the owner has accepted a
+	// uncertainFence is the token of the last such grant of this VM. Once the owner has accepted a
 	// higher one it rejects that grant and those before it.
 	uncertainFence int64
+	// unansweredUntil is the part of uncertainUntil without accepted grants.
+	unansweredUntil time.Duration
 	// confirmSent is set once a moving range was granted to its owner with a token above
 	// uncertainFence.
 	confirmSent bool
@@ -221,9 +224,9 @@
 	}
 	c.earlierCallsUntil = p.CallsUntil
 	leasedUntil := p.CallsUntil + RangeLeaseDuration + holdMargin
-	uncertainUntil := leasedUntil // the predecessor may renew a lease that its owner has released
+	unansweredUntil := leasedUntil // the predecessor may renew a lease that its owner has released
 	if p.Resigned {
-		uncertainUntil = now
+		unansweredUntil = now
 	}
 	if era > 0 {
 		c.newServicesFrom = now + AssignmentLeaseDuration + grantTimeout + RangeLeaseDuration + holdMargin
@@ -231,7 +234,10 @@
 	c.fence = max(c.fence, recorded.Fence)
 	for service, entries := range recorded.Services {
 		for _, entry := range entries {
-			s := &rangeState{service: service, entry: entry, leasedUntil: leasedUntil, uncertainUntil: uncertainUntil}
+			s := &rangeState{
+				service: service, entry: entry,
+				leasedUntil: leasedUntil, uncertainUntil: leasedUntil, unansweredUntil: unansweredUntil,
+			}
 			switch {
 			case restored:
 				s.entry, s.target = keyrange.Entry{Range: entry.Range}, entry.Backend
@@ -296,7 +302,7 @@
 func (c *Core) HasUncertainGrants(now time.Duration) bool {
 	for _, ranges := range c.ranges {
 		for _, s := range ranges {
-			if now < s.uncertainUntil {
+			if now < s.unansweredUntil {
 				return true
 			}
 		}
@@ -566,6 +572,7 @@
 		joined.entry.Range.Last = right.entry.Range.Last
 		joined.leasedUntil = max(left.leasedUntil, right.leasedUntil)
 		joined.uncertainUntil = max(left.uncertainUntil, right.uncertainUntil)
+		joined.unansweredUntil = max(left.unansweredUntil, right.unansweredUntil)
 		c.fence++
 		joined.entry.Fence = c.fence
 		joined.nextCall = 0
@@ -599,8 +606,10 @@
 		if s.entry.Backend == "" || s.inFlight || now < s.nextCall || s.version > c.accepted {
 			continue
 		}
-		confirm := s.entry.Moving && s.confirmable(now)
-		if confirm && (s.granted || s.entry.Fence <= s.uncertainFence) {
+		// A release ends the leases of earlier grants for good only if the owner has accepted a higher
+		// token, so it is granted the range once more before.
+		confirm := s.entry.Moving && !s.confirmSent
+		if confirm && s.entry.Fence <= s.uncertainFence {
 			c.assignNewFence(s) // and grant the range once the token is recorded
 			continue
 		}
@@ -628,13 +637,6 @@
 	return call
 }
 
-// confirmable reports whether the owner of a moving range should be granted the range once more
-// before it is asked for the release: a release ends the leases of uncertain grants for good only
-// if the owner has accepted a higher token.
-func (s *rangeState) confirmable(now time.Duration) bool {
-	return !s.confirmSent && now < s.uncertainUntil
-}
-
 // HandleResult processes the result of a call that Step returned: err as the Granter
 // returned it, and the handover token of a successful release.
 func (c *Core) HandleResult(call Call, handover string, err error, now time.Duration) {
@@ -644,7 +646,6 @@
 	case errors.Is(err, ErrOtherInstance):
 		// The owner's process has ended, and with it all its leases.
 		c.avoidUntil[s.entry.Backend] = now + avoidDuration
-		s.uncertainUntil = min(s.uncertainUntil, now)
 		c.freeRange(s, "", 0, now, "owner restarted")
 	case call.Kind == CallRelease:
 		c.finishRelease(s, handover, err, now)
@@ -668,11 +669,13 @@
 	}
 	until := now + grant.Hold + holdMargin
 	s.leasedUntil = max(s.leasedUntil, until)
-	switch {
-	case err != nil:
-		s.uncertainUntil, s.uncertainFence = max(s.uncertainUntil, until), grant.Fence
-	case grant.Confirm:
-		s.uncertainUntil = min(s.uncertainUntil, now)
+	if err == nil && grant.Confirm {
+		s.uncertainUntil, s.unansweredUntil = min(s.uncertainUntil, now), min(s.unansweredUntil, now)
+		return
+	}
+	s.uncertainUntil, s.uncertainFence = max(s.uncertainUntil, until), grant.Fence
+	if err != nil {
+		s.unansweredUntil = max(s.unansweredUntil, until)
 	}
 }
 
