Keep the tests of late requests free of data races

The race detector reported the forwarder, the configuration and the time of the signal, which the tests shared with their backend servers without order. Only tests change.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -141,6 +141,12 @@
 func (s *testForwarder) assignAllKeys(t *testing.T) {
 	t.Helper()
 	s.Directory.View().Config.Services[0].Keyed = true
+	s.publishOwner(t)
+}
+
+// publishOwner assigns all keys to the first backend server.
+func (s *testForwarder) publishOwner(t *testing.T) {
+	t.Helper()
 	assignment := keyrange.Assignment{Holder: "vm", Services: map[string][]keyrange.Entry{
 		"s": {{Range: keyrange.Range{First: 0, Last: keyrange.MaxKey}, Backend: "b0", Fence: 1}},
 	}}
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -27,17 +27,18 @@
 	for _, idempotent := range []bool{false, true} {
 		is := is.New(t)
 		var runs, rejections atomic.Int64
-		var f *testForwarder
+		var stopping atomic.Pointer[testForwarder]
 		serve := func(w http.ResponseWriter, r *http.Request) {
 			if rejections.Add(1) == 1 {
-				f.SetExit(clock.System{}.Now() + time.Second) // the deadline is 2 s after the receipt
+				stopping.Load().SetExit(clock.System{}.Now() + time.Second) // the deadline is 2 s after the receipt
 				respondNotRun(w, r)
 				return
 			}
 			runs.Add(1)
 			respondSigned(w, r)
 		}
-		f = newTestForwarder(t, idempotent, serve, serve)
+		f := newTestForwarder(t, idempotent, serve, serve)
+		stopping.Store(f)
 		is.True(isStopRejection(f.request(context.Background(), "1")))
 		is.Equal(runs.Load(), int64(0))
 	}
@@ -54,7 +55,7 @@
 	})
 	answer := f.startOwnerWait()
 	f.SetExit(clock.System{}.Now() + time.Second)
-	f.assignAllKeys(t)
+	f.publishOwner(t)
 	is.True(isStopRejection(<-answer))
 	is.Equal(runs.Load(), int64(0))
 }
@@ -123,15 +124,16 @@
 func TestRepeatBeforeExit(t *testing.T) {
 	is := is.New(t)
 	var attempts atomic.Int64
-	var f *testForwarder
+	var stopping atomic.Pointer[testForwarder]
 	serve := func(w http.ResponseWriter, r *http.Request) {
 		if attempts.Add(1) == 1 {
-			f.SetExit(clock.System{}.Now() + time.Second)
+			stopping.Load().SetExit(clock.System{}.Now() + time.Second)
 			panic(http.ErrAbortHandler)
 		}
 		respondSigned(w, r)
 	}
-	f = newTestForwarder(t, true, serve, serve)
+	f := newTestForwarder(t, true, serve, serve)
+	stopping.Store(f)
 	is.Equal(f.request(context.Background(), "1").Status, http.StatusOK)
 }
 
