Read on at once while a topic has more than one read returns

Callers saw VMs list a new backend server up to 8 s late after another program had written 40 large records to the catalogue. Cause: one read returns 1 MB, and the follower waited for its interval of 0.6 s after each. It waits now only at the end of the topic.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -83,7 +83,8 @@
 	// Wait returns how long the next read waits for a record; nil means that reads do not
 	// wait.
 	Wait func() time.Duration
-	// Interval is the least time between the starts of two reads.
+	// Interval is the least time between the starts of two reads, unless the first one did not
+	// reach the end of the topic.
 	Interval time.Duration
 	// Apply is called with each batch, in order and one at a time. It must not call methods
 	// of the follower, whose lock is held during the call.
@@ -201,7 +202,7 @@
 		}
 		retryDelay, resumed = minRetryDelay, false
 		f.Deliver(batch, BatchInfo{Snapshot: snapshot, ConfirmedAt: sentAt, FailedAt: failedAt})
-		if elapsed := f.Now() - sentAt; elapsed < f.Interval {
+		if elapsed := f.Now() - sentAt; elapsed < f.Interval && batch.Next >= batch.End {
 			clock.Sleep(ctx, f.Interval-elapsed)
 		}
 	}
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -98,3 +98,34 @@
 	is.True((*infos)[3].Snapshot)
 	is.True((*infos)[4].Snapshot)
 }
+
+// pagedLog is a log whose reads return a few records of many.
+type pagedLog struct {
+	failingLog
+	end int64
+}
+
+func (l *pagedLog) Read(_ context.Context, _ string, from sharedlog.Position, _ time.Duration) (sharedlog.Batch, error) {
+	batch := sharedlog.Batch{Next: min(from.Offset+3, l.end), End: l.end}
+	if batch.Next == l.end {
+		l.cancel()
+	}
+	return batch, nil
+}
+
+// TestFollowerBehindLargeRecords guards against a VM that lists a backend server seconds late,
+// because another program has written large records, few of which fit into one read, and the
+// follower waits for its interval after each.
+func TestFollowerBehindLargeRecords(t *testing.T) {
+	f, _, _ := newTestFollower()
+	f.Interval = time.Minute
+	f.Deliver(sharedlog.Batch{}, BatchInfo{Snapshot: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	log := &pagedLog{end: 40}
+	log.cancel = cancel
+	f.Run(ctx, log)
+	if next, _ := f.Cursor(); next.Offset < 39 {
+		t.Errorf("the follower has read up to %d of 40 records", next.Offset)
+	}
+}
