Read the topic to its end after a failed append

A lease holder could lose the assignment lease after another program had written many large records to its topic: VMs saw a change of the holder, and keys of leaving owners waited for the predecessor's calls. Cause: the read after a failed append returns up to 1 MB and moved the end for the next append by a few records only, once in 250 ms. The holder now reads on to the end, at most 16 reads for one append.

--- a/internal/keylease/append_test.go
+++ b/internal/keylease/append_test.go
@@ -1,6 +1,7 @@
 package keylease
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -226,3 +227,72 @@
 	s.is.Equal(s.newest().Services["s"][0].Backend, "b")
 	s.is.Equal(s.heartbeats, before+1)
 }
+
+// shortReads is a shared log whose reads return few records, as those of large records do.
+type shortReads struct{ sharedlog.Log }
+
+func (l shortReads) Read(ctx context.Context, topic string, from sharedlog.Position, wait time.Duration) (sharedlog.Batch, error) {
+	batch, err := l.Log.Read(ctx, topic, from, wait)
+	if n := 3; len(batch.Records) > n {
+		batch.Records, batch.Next = batch.Records[:n], batch.Records[n-1].Offset+1
+	}
+	return batch, err
+}
+
+// TestLeaseBesideLargeRecords guards against a holder that loses its lease because another program
+// has written many large records to the topic, so that each read after a failed append moves the
+// end for the next one by a few records only.
+func TestLeaseBesideLargeRecords(t *testing.T) {
+	log := &memoryLog{}
+	s := startHolder(t, log, "first")
+	s.Log = shortReads{s.log}
+	claimedAt := s.clock.Now()
+	for range 40 {
+		log.write(sharedlog.Record{Key: "odd"})
+	}
+	for s.lease.renewedAt == claimedAt && s.clock.Now() < claimedAt+silenceLimit {
+		s.pass(appendRetryInterval)
+		s.next()
+		s.finish()
+	}
+	if unconfirmed := s.clock.Now() - claimedAt; unconfirmed >= ClaimAfter {
+		t.Errorf("no append was accepted for %s", unconfirmed)
+	}
+	log.write(sharedlog.Record{Key: "odd"}, sharedlog.Record{Key: "odd"}, sharedlog.Record{Key: "odd"}, encode(t, keyrange.Assignment{Holder: "second", Address: "second"}))
+	s.pass(HeartbeatInterval)
+	s.next()
+	s.finish()
+	s.is.True(s.lease == nil) // the claim is behind the first read
+}
+
+// failingReads is a shared log whose reads from a position on fail.
+type failingReads struct {
+	sharedlog.Log
+	from int64
+	err  error
+}
+
+func (l failingReads) Read(ctx context.Context, topic string, from sharedlog.Position, wait time.Duration) (sharedlog.Batch, error) {
+	if from.Offset >= l.from {
+		return sharedlog.Batch{}, l.err
+	}
+	return l.Log.Read(ctx, topic, from, wait)
+}
+
+// TestFailureBehindFirstRead guards against an append whose records were found and that counts as
+// failed, since a further read failed, and against one in a log that was restored between reads.
+func TestFailureBehindFirstRead(t *testing.T) {
+	for _, c := range []struct{ read, want error }{
+		{errUnreachable, nil}, {sharedlog.ErrRestored, sharedlog.ErrRestored}, {sharedlog.ErrTrimmed, sharedlog.ErrTrimmed},
+	} {
+		log := &memoryLog{}
+		s := newStepped(t, log, "first")
+		own := sharedlog.Record{Key: keyHeartbeat, Value: []byte("1")}
+		odd := sharedlog.Record{Key: "odd"}
+		log.write(own, odd, odd, odd)
+		s.Log = failingReads{shortReads{s.log}, 3, c.read}
+		a := appendResult{records: []sharedlog.Record{own}, err: errUnreachable}
+		s.readBack(t.Context(), &a)
+		s.is.Equal(a.err, c.want)
+	}
+}
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -52,6 +52,8 @@
 	// appendRetryInterval is the time between attempts to append while the shared log
 	// fails.
 	appendRetryInterval = 250 * time.Millisecond
+	// maxReadBackReads bounds the reads after one failed append. Each returns up to 1 MB.
+	maxReadBackReads = 16
 )
 
 // errNotHolder reports that another VM holds the assignment lease.
@@ -569,7 +571,7 @@
 // earlier era than the append are those of a delayed append, which no VM takes for a claim.
 func (l *Lessor) readBack(ctx context.Context, a *appendResult) {
 	a.newEnd = a.expectedEnd
-	batch, err := l.Log.Read(ctx, l.Topic, a.expectedEnd, 0)
+	batch, err := l.readToEnd(ctx, a.expectedEnd)
 	if err != nil {
 		if errors.Is(err, sharedlog.ErrRestored) || errors.Is(err, sharedlog.ErrTrimmed) {
 			a.err = err
@@ -597,6 +599,24 @@
 	}
 }
 
+// readToEnd returns the records of the topic from a position on. One read returns few records if
+// another program has written large ones. If a further read fails, the records before it are
+// returned, unless the log no longer has what follows.
+func (l *Lessor) readToEnd(ctx context.Context, from sharedlog.Position) (sharedlog.Batch, error) {
+	batch, err := l.Log.Read(ctx, l.Topic, from, 0)
+	for reads := 1; err == nil && batch.Next < batch.End && reads < maxReadBackReads; reads++ {
+		more, err := l.Log.Read(ctx, l.Topic, batch.NextPosition(), 0)
+		if errors.Is(err, sharedlog.ErrRestored) || errors.Is(err, sharedlog.ErrTrimmed) {
+			return batch, err
+		}
+		if err != nil {
+			break
+		}
+		batch.Records, batch.Next, batch.End = append(batch.Records, more.Records...), more.Next, more.End
+	}
+	return batch, err
+}
+
 // finishAppend processes the result of an append.
 func (l *Lessor) finishAppend(a appendResult) {
 	if a.claimed != nil {
--- a/internal/rulecheck/rules_lessor.go
+++ b/internal/rulecheck/rules_lessor.go
@@ -35,6 +35,9 @@
 	{"read back: an assignment of an earlier era is no claim", lessorFile, " && assignment.Era >= a.expectedEnd.Era {", " {", keylease},
 	{"read back: an overwritten assignment is noticed", lessorFile, "a.overwritten = err != nil", "a.overwritten = false", keylease},
 	{"read back: a restored or trimmed log is noticed", lessorFile, "\t\t\ta.err = err\n\t\t}\n\t\treturn\n\t}\n\ta.newEnd = batch.NextPosition()", "\t\t}\n\t\treturn\n\t}\n\ta.newEnd = batch.NextPosition()", keylease},
+	{"read back: up to the end of the topic", lessorFile, "batch.Next < batch.End && reads < maxReadBackReads", "batch.Next < batch.End && reads < 1", keylease},
+	{"read back: a further read that fails keeps what was found", lessorFile, "\t\tif err != nil {\n\t\t\tbreak\n\t\t}\n\t\tbatch.Records", "\t\tif err != nil {\n\t\t\treturn batch, err\n\t\t}\n\t\tbatch.Records", keylease},
+	{"read back: a log that is restored between reads is noticed", lessorFile, "\t\t\treturn batch, err\n\t\t}\n\t\tif err != nil {\n\t\t\tbreak", "\t\t\tbreak\n\t\t}\n\t\tif err != nil {\n\t\t\tbreak", keylease},
 
 	{"append: unanswered ones count from the first", lessorFile, "\tif u.first == 0 {\n\t\tu.first = a.sentAt\n\t}", "\tu.first = a.sentAt", keylease},
 	{"append: records that a read finds count from the first unanswered one", lessorFile, "sentAt = min(sentAt, u.first)", "sentAt = max(sentAt, u.first)", keylease},
