Let a read of a part of a topic confirm nothing

A read that returned only a part of a topic, because of large records in it, counted as a confirmation of the configuration and of the catalogue as of its start, although newer records existed: a withdrawn caller key could count as valid until the next read, or for the length of an outage if that failed. A read confirms only at the end of the topic now, and a follower that got no record waits for its interval.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -201,8 +201,13 @@
 			continue
 		}
 		retryDelay, resumed = minRetryDelay, false
-		f.Deliver(batch, BatchInfo{Snapshot: snapshot, ConfirmedAt: sentAt, FailedAt: failedAt})
-		if elapsed := f.Now() - sentAt; elapsed < f.Interval && batch.Next >= batch.End {
+		info := BatchInfo{Snapshot: snapshot, ConfirmedAt: sentAt, FailedAt: failedAt}
+		partial := batch.Next < batch.End // more records than one read returns
+		if partial {
+			info.ConfirmedAt -= failedReadAge
+		}
+		f.Deliver(batch, info)
+		if elapsed := f.Now() - sentAt; elapsed < f.Interval && (!partial || len(batch.Records) == 0) {
 			clock.Sleep(ctx, f.Interval-elapsed)
 		}
 	}
@@ -226,8 +231,8 @@
 	return f.failedAt
 }
 
-// failedReadAge is subtracted from the time of a failed read, so that it does not confirm
-// anything.
+// failedReadAge is subtracted from the time of a read that failed or returned a part of the topic,
+// so that it does not confirm anything.
 const failedReadAge = time.Hour
 
 // waitWhilePaused waits until reads resume or ctx ends. It returns false at once if reads
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -106,7 +106,8 @@
 }
 
 func (l *pagedLog) Read(_ context.Context, _ string, from sharedlog.Position, _ time.Duration) (sharedlog.Batch, error) {
-	batch := sharedlog.Batch{Next: min(from.Offset+3, l.end), End: l.end}
+	batch := valuesFrom(from.Offset, make([]string, min(3, l.end-from.Offset))...)
+	batch.End = l.end
 	if batch.Next == l.end {
 		l.cancel()
 	}
@@ -129,3 +130,27 @@
 		t.Errorf("the follower has read up to %d of 40 records", next.Offset)
 	}
 }
+
+// TestPartOfTopicConfirmsNothing guards against a configuration that counts as the newest one,
+// with caller keys that are withdrawn, because a read that returned only a part of the topic
+// confirmed it.
+func TestPartOfTopicConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	f, _, infos := newTestFollower()
+	f.Deliver(sharedlog.Batch{}, BatchInfo{Snapshot: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	log := &pagedLog{end: 7}
+	reads := 0
+	f.Wait = func() time.Duration { // called before each read
+		if reads++; reads > 4 {
+			cancel()
+		}
+		return 0
+	}
+	log.cancel = func() {}
+	f.Run(ctx, log)
+	is.Equal(len(*infos), 1+4)
+	for i, confirmed := range []bool{false, false, true, true} {
+		is.Equal((*infos)[1+i].ConfirmedAt == f.Now(), confirmed)
+	}
+}
--- a/internal/rulecheck/rules_directory.go
+++ b/internal/rulecheck/rules_directory.go
@@ -56,5 +56,6 @@
 	{"follower: a failure stays known after reads succeed", followFile, "f.failing = err != nil\n\tif f.failing {", "f.failing = err != nil\n\tif f.failedAt = 0; f.failing {", directory},
 	{"follower: a trimmed topic is read as a snapshot", followFile, "if !errors.Is(err, sharedlog.ErrTrimmed) && !errors.Is(err, sharedlog.ErrRestored) {", "if !errors.Is(err, sharedlog.ErrRestored) {", directory},
 	{"follower: a restored topic is read as a snapshot", followFile, "if !errors.Is(err, sharedlog.ErrTrimmed) && !errors.Is(err, sharedlog.ErrRestored) {", "if !errors.Is(err, sharedlog.ErrTrimmed) {", directory},
-	{"follower: reads on until the end of the topic", followFile, "elapsed < f.Interval && batch.Next >= batch.End {", "elapsed < f.Interval {", directory},
+	{"follower: reads on until the end of the topic", followFile, "elapsed < f.Interval && (!partial || len(batch.Records) == 0) {", "elapsed < f.Interval {", directory},
+	{"follower: a part of the topic confirms nothing", followFile, "\t\t\tinfo.ConfirmedAt -= failedReadAge\n", "", directory},
 }
