--- a/internal/keylease/core_model_test.go
+++ b/internal/keylease/core_model_test.go
@@ -1,6 +1,7 @@
 package keylease
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -134,11 +135,12 @@
 	session   *modelSession
 }
 
-const (
-	modelStep = 20 * time.Millisecond
-	// modelSeeds is the number of models that are run, each with its own seed.
-	modelSeeds uint64 = 20
-)
+const modelStep = 20 * time.Millisecond
+
+// modelSeeds is the number of models that each test runs, each with its own seed.
+var modelSeeds uint64
+
+func init() { flag.Uint64Var(&modelSeeds, "seeds", 20, "number of seeds of each random model") }
 
 func newModel(t *testing.T, seed uint64) *model {
 	m := &model{t: t, random: rand.New(rand.NewPCG(seed, 1)), sessions: make(map[sessionKey]*modelSession)}
@@ -185,13 +187,17 @@
 			in.Servers["keyed"] = c.servers
 		}
 	}
-	// 40 busy parts, which are others every 7 s, so that ranges move.
+	in.Weight = m.weight
+	return in
+}
+
+// weight returns the load of 40 busy parts, which are others every 7 s, so that ranges move.
+func (m *model) weight(string) *keyrange.Weight {
 	weight := new(keyrange.Weight)
 	for i := range 40 {
 		weight[(i+int(m.now/(7*time.Second))*400)%keyrange.Parts] = 10
 	}
-	in.Weight = func(string) *keyrange.Weight { return weight }
-	return in
+	return weight
 }
 
 func (m *model) serverAt(address string) *modelServer {
@@ -333,7 +339,7 @@
 
 // lastEvents returns the last events.
 func (m *model) lastEvents() string {
-	return strings.Join(m.events[max(0, len(m.events)-60):], "\n")
+	return strings.Join(m.events[max(0, len(m.events)-100):], "\n")
 }
 
 // apply executes a call at its server.
@@ -438,8 +444,7 @@
 	}
 }
 
-// injectFault crashes, restarts, drains, unlists or adds a server, or changes the lease
-// holder.
+// injectFault brings about a fault of a server, or changes the lease holder.
 func (m *model) injectFault() {
 	if m.scripted {
 		return
@@ -449,6 +454,20 @@
 	if fault < 9 {
 		m.logf("fault %d at %s/%d", fault, s.id, s.started)
 	}
+	switch fault {
+	case 6:
+		m.cutHolder()
+	case 7:
+		if m.restores {
+			m.restoreLog()
+		}
+	default:
+		m.faultServer(s, fault)
+	}
+}
+
+// faultServer crashes, restarts, drains, unlists or adds a server, by the number of the fault.
+func (m *model) faultServer(s *modelServer, fault int) {
 	switch fault {
 	case 0: // crash; the catalogue entry expires later
 		s.end()
@@ -471,12 +490,6 @@
 				s.listed = false
 			}
 		}
-	case 6:
-		m.cutHolder()
-	case 7:
-		if m.restores {
-			m.restoreLog()
-		}
 	case 8: // an entry of the process before arrives late
 		if s.up && s.listed && s.listedStart == s.started && s.started > int64(len(m.servers)) {
 			s.listedStart, s.newEntryAt = s.started-1, m.now+time.Second
@@ -589,7 +602,7 @@
 				}
 				holder[part] = s.id
 				if m.owners[part] != process && m.owners[part] != "" && h.fence <= m.fences[part] {
-					m.t.Fatalf("at %s part %d went to %s with token %d, although %s held it with token %d", m.now, part, process, h.fence, m.owners[part], m.fences[part])
+					m.t.Fatalf("at %s part %d went to %s with token %d, although %s held it with token %d\n%s", m.now, part, process, h.fence, m.owners[part], m.fences[part], m.lastEvents())
 				}
 				m.owners[part], m.fences[part] = process, max(m.fences[part], h.fence)
 			}
@@ -673,3 +686,50 @@
 	}
 	return held
 }
+
+// TestExclusiveOwnershipInTakeovers guards against the same, and against a process that gets a lower
+// token than the one before it, if the lease holder changes several times within a second: a holder is
+// cut off from the log and goes on, and the processes of its successor end and start again.
+func TestExclusiveOwnershipInTakeovers(t *testing.T) {
+	for seed := range modelSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			m := newModel(t, seed)
+			for m.now < 60*time.Second {
+				before := m.holder
+				m.step()
+				if m.random.IntN(200) == 0 {
+					m.cutHolder()
+				}
+				if m.holder != before {
+					m.restartHolder()
+				}
+			}
+		})
+	}
+}
+
+// restartHolder restarts the process of the lease holder up to four times, at intervals below 300 ms.
+// Each takes the lease at once, with a copy of the catalogue and paths of its own.
+func (m *model) restartHolder() {
+	for range m.random.IntN(5) {
+		for range m.random.IntN(15) {
+			m.step()
+		}
+		m.logf("the process of the lease holder starts again")
+		m.holder.cutAt, m.holder.renewedAt = m.now, m.now-AssignmentLeaseDuration // it sends nothing more
+		m.replaceHolder(Predecessor{CallsUntil: m.now + grantTimeout})
+		s := m.servers[m.random.IntN(len(m.servers))]
+		switch m.random.IntN(4) {
+		case 0:
+			m.holder.unreachable = s
+		case 1:
+			m.holder.ungranted = s
+		case 2:
+			m.faultServer(s, 1)
+		}
+		if m.random.IntN(2) == 0 {
+			m.servers[m.random.IntN(len(m.servers))].usable = false
+		}
+	}
+}
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -121,12 +121,14 @@
 	paused atomic.Pointer[chan struct{}]
 	// lostAt is the position after the record by which another VM acquired the lease.
 	lostAt sharedlog.Position
+	// background runs a call or an append beside the loop; a test may run it in steps.
+	background func(task func())
 }
 
 // NewLessor returns a lessor that does not hold the assignment lease.
 func NewLessor(o LessorOptions) *Lessor {
 	l := &Lessor{
-		LessorOptions: o, stopping: make(chan struct{}),
+		LessorOptions: o, stopping: make(chan struct{}), background: func(task func()) { go task() },
 		logLimit: linelimit.New(o.Logger, o.Clock.Now, maxChangeLines, "key range lines suppressed"),
 	}
 	l.follower = l.newFollower()
@@ -485,7 +487,7 @@
 	if call.isNewGrant() {
 		lease.newGrants++
 	}
-	go func() {
+	l.background(func() {
 		r := callResult{call: call, lease: lease}
 		if call.Kind == CallRelease {
 			ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
@@ -500,7 +502,7 @@
 		case l.results <- r:
 		case <-ctx.Done():
 		}
-	}()
+	})
 }
 
 // appendState appends the newest assignment, if it changed, and a heartbeat, if one is
@@ -563,7 +565,7 @@
 // loop.
 func (l *Lessor) append(ctx context.Context, lease *leaseState, records []sharedlog.Record, expectedEnd sharedlog.Position, a appendResult) {
 	a.records, a.expectedEnd = records, expectedEnd
-	go func() {
+	l.background(func() {
 		a.newEnd, a.err = l.Log.Append(ctx, l.Topic, records, expectedEnd)
 		if a.err != nil {
 			l.readBack(ctx, &a)
@@ -572,7 +574,7 @@
 		case l.appendResults <- a:
 		case <-ctx.Done():
 		}
-	}()
+	})
 }
 
 // readBack finds out whether an append that failed has taken effect. It sets the position to
