--- a/internal/keylease/search_test.go
+++ b/internal/keylease/search_test.go
@@ -555,6 +555,14 @@
 		"entry of a restarted owner that holds a lease": {990 * time.Millisecond, []searchEvent{
 			{restart, 0, 0}, {stepAll, 0, 0}, {entry, 0, 0}, {runRefused, 0, 0},
 		}},
+		// The joined range had the end of the left lease only.
+		"longer lease of the right part of joined ranges": {850 * time.Millisecond, []searchEvent{
+			{leave, 1, 0}, {runInFlight, 0, 0}, {comeBack, 1, 0}, {answer, 0, 0}, {stepToClaim, 0, 0}, {stepTime, 0, 0}, {runRefused, 0, 0},
+		}},
+		// A claim did not state what was known of earlier holders.
+		"renewal by a holder before a restarted one": {990 * time.Millisecond, []searchEvent{
+			{stepToClaim, 0, 0}, {cutOff, 0, 0}, {leave, 0, 0}, {claim, 1, 0}, {restartVM, 1, 0}, {claimInFlight, 1, 0}, {stepHolderFirst, 0, 0}, {stepToRecord, 0, 0},
+		}},
 		// A successor took every last holder for one that resigned.
 		"lease of a holder that did not resign": {850 * time.Millisecond, []searchEvent{
 			{cutOff, 0, 0}, {leave, 0, 0}, {stepToRecord, 0, 0}, {stepAll, 0, 0},
