--- a/internal/keylease/search_state_test.go
+++ b/internal/keylease/search_state_test.go
@@ -378,24 +378,31 @@
 		return
 	}
 	c.applied = true
-	server := &s.servers[c.server]
-	g := c.call.Grant
-	if server.process != c.process {
+	switch {
+	case s.servers[c.server].process != c.process:
 		c.err = errNoAnswer
-		return
+	case c.call.Kind == CallRelease:
+		s.servers[c.server].release(c.call.Grant.Range)
+	default:
+		s.applyGrant(c)
+		s.check()
 	}
-	if c.call.Kind == CallRelease {
-		if server.busy {
-			for _, l := range server.leases {
-				if overlap(l.r, g.Range) {
-					l.r = keyrange.Range{First: max(l.r.First, g.Range.First), Last: min(l.r.Last, g.Range.Last)}
-					server.working = cover(server.working, l)
-				}
-			}
+}
+
+// release ends the leases on a range. Requests that run go on until the leases would have ended.
+func (server *searchServer) release(r keyrange.Range) {
+	for _, l := range server.leases {
+		if server.busy && overlap(l.r, r) {
+			l.r = keyrange.Range{First: max(l.r.First, r.First), Last: min(l.r.Last, r.Last)}
+			server.working = cover(server.working, l)
 		}
-		server.leases = cutOut(server.leases, g.Range)
-		return
 	}
+	server.leases = cutOut(server.leases, r)
+}
+
+// applyGrant executes a grant at its backend server.
+func (s *searchState) applyGrant(c *searchCall) {
+	server, g := &s.servers[c.server], c.call.Grant
 	if slices.ContainsFunc(server.seen, func(x span) bool { return overlap(x.r, g.Range) && x.fence > g.Fence }) {
 		c.err = ErrFenced
 		if c.reused {
@@ -441,7 +448,7 @@
 	case i < 0 || c.session == 0:
 	case err != nil:
 		v.sessions = slices.Delete(slices.Clone(v.sessions), i, i+1)
-	default:
+	case !slices.Contains(v.sessions[i].fences, c.call.Grant.Fence):
 		v.sessions[i].fences = append(slices.Clone(v.sessions[i].fences), c.call.Grant.Fence)
 	}
 }
@@ -515,12 +522,12 @@
 		for _, l := range s.servers[i].leases {
 			for _, o := range slices.Concat(other.leases, other.working) {
 				if overlap(l.r, o.r) {
-					s.violation = fmt.Sprintf("keys %s are held by w%d with token %d while w%d has keys %s with token %d", l.r, i, l.fence, 1-i, o.r, o.fence)
+					s.fail("keys %s are held by w%d with token %d while w%d has keys %s with token %d", l.r, i, l.fence, 1-i, o.r, o.fence)
 				}
 			}
 			for _, o := range s.owners {
 				if overlap(l.r, o.r) && o.process != s.servers[i].process && l.fence <= o.fence {
-					s.violation = fmt.Sprintf("keys %s go to w%d with token %d, another process had token %d", l.r, i, l.fence, o.fence)
+					s.fail("keys %s go to w%d with token %d, another process had token %d", l.r, i, l.fence, o.fence)
 				}
 			}
 			s.owners = cover(s.owners, span{r: l.r, fence: l.fence, process: s.servers[i].process})
@@ -528,6 +535,13 @@
 	}
 }
 
+// fail notes a violation, unless there is one already.
+func (s *searchState) fail(format string, args ...any) {
+	if s.violation == "" {
+		s.violation = fmt.Sprintf(format, args...)
+	}
+}
+
 // stateKey encodes what decides on the future of a state: times relative to now, those in the past
 // as one value, and tokens and processes by their rank.
 type stateKey struct {
@@ -679,11 +693,13 @@
 			k.b = append(append(k.b, r.uncertainBackend...), 0)
 			k.token(r.uncertainFence)
 		}
-		k.bool(r.confirmSent)
-		k.time(r.nextCall, 0)
+		k.bool(r.entry.Moving && r.confirmSent)
+		if r.entry.Backend != "" {
+			k.time(r.nextCall, 0)
+		}
 		k.bool(r.inFlight)
 		k.bool(r.granted)
-		k.token(r.acceptedFence)
+		k.bool(r.granted && r.acceptedFence == r.entry.Fence)
 		k.b = append(append(k.b, r.target...), 0)
 	}
 }
--- a/internal/keylease/search_test.go
+++ b/internal/keylease/search_test.go
@@ -150,7 +150,6 @@
 		s.servers[i].busy = true
 	}
 	s.readCatalogue()
-	s.check()
 }
 
 // maxSteps is the number of steps that one event may take.
@@ -164,7 +163,6 @@
 		if kind == stepToRecord {
 			s.runAll(false)
 		}
-		s.check()
 		if kind == stepToClaim && (s.claimable(0) || s.claimable(1)) || s.record != record || s.violation != "" {
 			return
 		}
@@ -184,7 +182,6 @@
 		for vm := range s.vms {
 			if s.vms[vm].core != nil && (s.record.Holder == searchVMName(vm)) == holder {
 				s.run(vm, true, 0, fateAnswered)
-				s.check()
 			}
 		}
 	}
@@ -318,7 +315,6 @@
 	start            []searchEvent
 	depth, maxFaults int
 	faults           []searchKind // that may occur; nil for all
-	maxStates        int          // a level is not begun above it; 0 for no limit
 
 	nodes    []searchNode
 	seen     map[[16]byte]struct{}
@@ -357,7 +353,7 @@
 	x.seen = map[[16]byte]struct{}{searchKey(s, nil): {}}
 	x.nodes = []searchNode{{parent: -1}}
 	level := []frontier{{s, 0}}
-	for x.reached < x.depth && len(level) > 0 && x.fault == "" && (x.maxStates == 0 || len(x.nodes) <= x.maxStates) {
+	for x.reached < x.depth && len(level) > 0 && x.fault == "" {
 		level = x.next(level)
 		x.reached++
 		x.levels = append(x.levels, len(level))
