FINDING: a token for two processes, found by the exhaustive search

On the unchanged core: a successor's grant of a range is in flight when its owner leaves, the owner accepts it, and restarts before the grant that confirms the range. finishGrant does not note an accepted grant of a moving range, so the confirmation repeats its token, on a connection of its own, to the new process.

--- a/internal/keylease/search_test.go
+++ b/internal/keylease/search_test.go
@@ -574,6 +574,15 @@
 	}
 }
 
+// TestConfirmationAfterRestart guards against a process that gets a range with the token with which
+// an earlier one at its address held it: a grant was answered after the range began to move, and the
+// grant that confirms the range before its release repeated the token.
+func TestConfirmationAfterRestart(t *testing.T) {
+	replaySearch(t, 990*time.Millisecond, []searchEvent{
+		{stepToClaim, 0, 0}, {claimInFlight, 1, 0}, {leave, 0, 0}, {run, 1, 0}, {answer, 0, 0}, {restart, 0, 0}, {stepAll, 0, 0},
+	})
+}
+
 // TestSearchKnowsAllFields guards against a search that takes different states for the same, or
 // shares one between two, because a field was added that its key and its copies do not have.
 func TestSearchKnowsAllFields(t *testing.T) {
