Count the token of a grant of a moving range as accepted

A grant that was answered after its range began to move was not noted as accepted, so the grant that confirms the range before its release repeated the token, on a connection of its own. If the owner had restarted in between, two processes held the range with one token. It gets a new token now.

--- a/internal/keylease/core.go
+++ b/internal/keylease/core.go
@@ -718,7 +718,9 @@
 func (c *Core) finishGrant(s *rangeState, err error, now time.Duration) {
 	switch {
 	case s.entry.Moving:
-		// The range began to move while the call was in flight.
+		// The range began to move while the call was in flight. An accepted token is not granted
+		// again by a call that may reach another process.
+		s.granted = s.granted || err == nil
 		s.nextCall = now
 	case err == nil:
 		s.granted, s.acceptedFence, s.handover = true, s.entry.Fence, ""
