--- a/internal/keylease/search_state_test.go
+++ b/internal/keylease/search_state_test.go
@@ -24,28 +24,28 @@
 // at the same instant as the last call before it.
 var searchSteps = []time.Duration{870 * time.Millisecond, 990 * time.Millisecond}
 
-// noBalance is the time of the last plan to balance of a core that makes none.
-const noBalance = time.Duration(1 << 61)
+// noSearchBalance is the time of the last plan to balance of a core that makes none.
+const noSearchBalance = time.Duration(1 << 61)
 
-// errNoAnswer is the result of a call without an answer.
-var errNoAnswer = errors.New("no answer")
+// errSearchNoAnswer is the result of a call without an answer.
+var errSearchNoAnswer = errors.New("no answer")
 
-// span is a key range with a token: a lease, a part on which requests still run, a part of the
+// searchSpan is a key range with a token: a lease, a part on which requests still run, a part of the
 // tokens that a backend server has seen, or a part with its last owner.
-type span struct {
+type searchSpan struct {
 	r       keyrange.Range
 	fence   int64
 	until   time.Duration
 	process int64
 }
 
-func overlap(a, b keyrange.Range) bool { return a.First <= b.Last && b.First <= a.Last }
+func rangesOverlap(a, b keyrange.Range) bool { return a.First <= b.Last && b.First <= a.Last }
 
-// cutOut returns the spans without the keys of a range.
-func cutOut(spans []span, r keyrange.Range) []span {
-	var kept []span
+// cutSpans returns the spans without the keys of a range.
+func cutSpans(spans []searchSpan, r keyrange.Range) []searchSpan {
+	var kept []searchSpan
 	for _, s := range spans {
-		if !overlap(s.r, r) {
+		if !rangesOverlap(s.r, r) {
 			kept = append(kept, s)
 			continue
 		}
@@ -60,10 +60,10 @@
 	return kept
 }
 
-// cover replaces what the spans say of the keys of s, and keeps them sorted.
-func cover(spans []span, s span) []span {
-	spans = append(cutOut(spans, s.r), s)
-	slices.SortFunc(spans, func(a, b span) int { return cmp.Compare(a.r.First, b.r.First) })
+// coverSpans replaces what the spans say of the keys of s, and keeps them sorted.
+func coverSpans(spans []searchSpan, s searchSpan) []searchSpan {
+	spans = append(cutSpans(spans, s.r), s)
+	slices.SortFunc(spans, func(a, b searchSpan) int { return cmp.Compare(a.r.First, b.r.First) })
 	return spans
 }
 
@@ -72,8 +72,8 @@
 	process, listed int64 // listed is the process in the catalogue
 	usable          bool
 	busy            bool // requests run on all its keys, until their leases end
-	leases, working []span
-	seen            []span
+	leases, working []searchSpan
+	seen            []searchSpan
 }
 
 // searchSession is the connection of a VM to a process, over which grants were accepted.
@@ -127,8 +127,8 @@
 	vms        [2]searchVM
 	servers    [2]searchServer
 	calls      []searchCall
-	owners     []span // process that held the keys last, with its highest token
-	lastNumber int64  // of a process or session
+	owners     []searchSpan // process that held the keys last, with its highest token
+	lastNumber int64        // of a process or session
 	faults     int
 	violation  string
 }
@@ -144,7 +144,7 @@
 	s.vms[0].core, s.vms[0].renewedAt = NewCore(searchVMName(0), nil, 0, s.now, Predecessor{Resigned: true}), s.now
 	s.appendRecord(s.vms[0].core)
 	s.readCatalogue()
-	s.vms[0].core.lastBalance[searchService] = noBalance
+	s.vms[0].core.lastBalance[searchService] = noSearchBalance
 	return s
 }
 
@@ -281,18 +281,18 @@
 func (s *searchState) claim(vm int, answered bool) {
 	v := &s.vms[vm]
 	core := NewCore(searchVMName(vm), v.current, 0, s.now, s.lessor(vm).predecessor(v.current, s.now))
-	core.lastBalance[searchService] = noBalance
+	core.lastBalance[searchService] = noSearchBalance
 	s.appendRecord(core)
 	if answered {
 		v.core, v.renewedAt, v.nextAppend = core, s.now, 0
 	}
 }
 
-// callFate is what happens to the calls of a VM to a backend server.
-type callFate uint8
+// searchFate is what happens to the calls of a VM to a backend server.
+type searchFate uint8
 
 const (
-	fateAnswered callFate = iota
+	fateAnswered searchFate = iota
 	fateInFlight
 	fateRefused // the VM does not reach the backend server
 )
@@ -305,7 +305,7 @@
 
 // run makes a VM append its state, if appends is set, and send what is due, until nothing is. The
 // calls to the given backend server have the given fate, all others are answered.
-func (s *searchState) run(vm int, appends bool, server int, fate callFate) {
+func (s *searchState) run(vm int, appends bool, server int, fate searchFate) {
 	v := &s.vms[vm]
 	in := Input{Servers: map[string][]Server{searchService: v.catalogue[:]}, Weight: func(string) *keyrange.Weight { return &searchWeight }}
 	for i := range maxSearchRounds {
@@ -319,7 +319,7 @@
 		}
 		version := v.core.version
 		calls := v.core.Step(s.now, in)
-		v.core.changes, v.core.lastBalance[searchService] = nil, noBalance
+		v.core.changes, v.core.lastBalance[searchService] = nil, noSearchBalance
 		for _, call := range calls {
 			to := fateAnswered
 			if call.Target.Address == fmt.Sprintf("a%d", server) {
@@ -334,7 +334,7 @@
 }
 
 // send sends a call.
-func (s *searchState) send(vm int, call Call, fate callFate) {
+func (s *searchState) send(vm int, call Call, fate searchFate) {
 	v := &s.vms[vm]
 	if s.now > sendBy(&call, v.renewedAt, s.now) || fate == fateRefused {
 		v.core.HandleResult(call, "", ErrNotSent, s.now)
@@ -382,7 +382,7 @@
 	c.applied = true
 	switch {
 	case s.servers[c.server].process != c.process:
-		c.err = errNoAnswer
+		c.err = errSearchNoAnswer
 	case c.call.Kind == CallRelease:
 		s.servers[c.server].release(c.call.Grant.Range)
 	default:
@@ -394,21 +394,21 @@
 // release ends the leases on a range. Requests that run go on until the leases would have ended.
 func (server *searchServer) release(r keyrange.Range) {
 	for _, l := range server.leases {
-		if server.busy && overlap(l.r, r) {
+		if server.busy && rangesOverlap(l.r, r) {
 			l.r = keyrange.Range{First: max(l.r.First, r.First), Last: min(l.r.Last, r.Last)}
-			server.working = cover(server.working, l)
+			server.working = coverSpans(server.working, l)
 		}
 	}
-	server.leases = cutOut(server.leases, r)
+	server.leases = cutSpans(server.leases, r)
 }
 
 // applyGrant executes a grant at its backend server.
 func (s *searchState) applyGrant(c *searchCall) {
 	server, g := &s.servers[c.server], c.call.Grant
-	if slices.ContainsFunc(server.seen, func(x span) bool { return overlap(x.r, g.Range) && x.fence > g.Fence }) {
+	if slices.ContainsFunc(server.seen, func(x searchSpan) bool { return rangesOverlap(x.r, g.Range) && x.fence > g.Fence }) {
 		c.err = ErrFenced
 		if c.reused {
-			c.err = errNoAnswer // the refusal may be that of an earlier call
+			c.err = errSearchNoAnswer // the refusal may be that of an earlier call
 		}
 		return
 	}
@@ -416,8 +416,8 @@
 	if until <= s.now {
 		return
 	}
-	server.leases = cover(server.leases, span{r: g.Range, fence: g.Fence, until: until})
-	server.seen = cover(server.seen, span{r: g.Range, fence: g.Fence})
+	server.leases = coverSpans(server.leases, searchSpan{r: g.Range, fence: g.Fence, until: until})
+	server.seen = coverSpans(server.seen, searchSpan{r: g.Range, fence: g.Fence})
 }
 
 // answer executes a call and gives its caller the result. A release is answered when the requests
@@ -425,7 +425,7 @@
 func (s *searchState) answer(i int) {
 	s.apply(i)
 	c := s.calls[i]
-	if c.call.Kind == CallRelease && slices.ContainsFunc(s.servers[c.server].working, func(x span) bool { return overlap(x.r, c.call.Grant.Range) }) {
+	if c.call.Kind == CallRelease && slices.ContainsFunc(s.servers[c.server].working, func(x searchSpan) bool { return rangesOverlap(x.r, c.call.Grant.Range) }) {
 		return
 	}
 	s.finish(i, c.err)
@@ -470,20 +470,20 @@
 			break
 		}
 		s.now = max(s.now, s.calls[first].timeout())
-		s.finish(first, errNoAnswer)
+		s.finish(first, errSearchNoAnswer)
 	}
 	s.now = end
 	for i := range s.servers {
 		server := &s.servers[i]
-		server.leases, server.working = unexpired(server.leases, end), unexpired(server.working, end)
+		server.leases, server.working = unexpiredSpans(server.leases, end), unexpiredSpans(server.working, end)
 		server.busy = server.busy && len(server.leases)+len(server.working) > 0
 	}
 	s.dropCalls()
 }
 
-// unexpired returns the spans that end later than now.
-func unexpired(spans []span, now time.Duration) []span {
-	var kept []span
+// unexpiredSpans returns the spans that end later than now.
+func unexpiredSpans(spans []searchSpan, now time.Duration) []searchSpan {
+	var kept []searchSpan
 	for _, x := range spans {
 		if now < x.until {
 			kept = append(kept, x)
@@ -523,16 +523,16 @@
 		other := &s.servers[1-i]
 		for _, l := range s.servers[i].leases {
 			for _, o := range slices.Concat(other.leases, other.working) {
-				if overlap(l.r, o.r) {
+				if rangesOverlap(l.r, o.r) {
 					s.fail("keys %s are held by w%d with token %d while w%d has keys %s with token %d", l.r, i, l.fence, 1-i, o.r, o.fence)
 				}
 			}
 			for _, o := range s.owners {
-				if overlap(l.r, o.r) && o.process != s.servers[i].process && l.fence <= o.fence {
+				if rangesOverlap(l.r, o.r) && o.process != s.servers[i].process && l.fence <= o.fence {
 					s.fail("keys %s go to w%d with token %d, another process had token %d", l.r, i, l.fence, o.fence)
 				}
 			}
-			s.owners = cover(s.owners, span{r: l.r, fence: l.fence, process: s.servers[i].process})
+			s.owners = coverSpans(s.owners, searchSpan{r: l.r, fence: l.fence, process: s.servers[i].process})
 		}
 	}
 }
@@ -544,9 +544,9 @@
 	}
 }
 
-// stateKey encodes what decides on the future of a state: times relative to now, those in the past
+// searchStateKey encodes what decides on the future of a state: times relative to now, those in the past
 // as one value, and tokens and processes by their rank.
-type stateKey struct {
+type searchStateKey struct {
 	s      *searchState
 	b      []byte
 	tokens []int64
@@ -555,7 +555,7 @@
 
 // key returns the canonical encoding of the state.
 func (s *searchState) key(buffer []byte) []byte {
-	k := &stateKey{s: s, b: buffer[:0], tokens: []int64{0}, starts: []int64{0}}
+	k := &searchStateKey{s: s, b: buffer[:0], tokens: []int64{0}, starts: []int64{0}}
 	k.encode() // collects tokens and processes
 	slices.Sort(k.tokens)
 	slices.Sort(k.starts)
@@ -565,9 +565,9 @@
 	return k.b
 }
 
-func (k *stateKey) int(v int64) { k.b = binary.AppendVarint(k.b, v) }
+func (k *searchStateKey) int(v int64) { k.b = binary.AppendVarint(k.b, v) }
 
-func (k *stateKey) bool(v bool) {
+func (k *searchStateKey) bool(v bool) {
 	if v {
 		k.b = append(k.b, 1)
 		return
@@ -575,10 +575,10 @@
 	k.b = append(k.b, 0)
 }
 
-func (k *stateKey) rng(r keyrange.Range) { k.int(int64(r.First)); k.int(int64(r.Last)) }
+func (k *searchStateKey) rng(r keyrange.Range) { k.int(int64(r.First)); k.int(int64(r.Last)) }
 
 // rank encodes the rank of a value among all, or adds it to them while they are collected.
-func (k *stateKey) rank(all *[]int64, v int64) {
+func (k *searchStateKey) rank(all *[]int64, v int64) {
 	i, found := slices.BinarySearch(*all, v)
 	if !found {
 		*all = slices.Insert(*all, i, v)
@@ -586,15 +586,15 @@
 	k.int(int64(i))
 }
 
-func (k *stateKey) token(v int64) { k.rank(&k.tokens, v) }
-func (k *stateKey) start(v int64) { k.rank(&k.starts, v) }
+func (k *searchStateKey) token(v int64) { k.rank(&k.tokens, v) }
+func (k *searchStateKey) start(v int64) { k.rank(&k.starts, v) }
 
 // time encodes a time, of which all times before now-past are alike.
-func (k *stateKey) time(t, past time.Duration) {
+func (k *searchStateKey) time(t, past time.Duration) {
 	k.int(int64(max(t-k.s.now, -past-1)))
 }
 
-func (k *stateKey) encode() {
+func (k *searchStateKey) encode() {
 	s := k.s
 	k.int(int64(s.faults))
 	k.assignment(s.record)
@@ -615,7 +615,7 @@
 	k.calls()
 }
 
-func (k *stateKey) spans(spans []span) {
+func (k *searchStateKey) spans(spans []searchSpan) {
 	k.int(int64(len(spans)))
 	for _, x := range spans {
 		k.rng(x.r)
@@ -625,7 +625,7 @@
 	}
 }
 
-func (k *stateKey) assignment(a *keyrange.Assignment) {
+func (k *searchStateKey) assignment(a *keyrange.Assignment) {
 	k.bool(a != nil)
 	if a == nil {
 		return
@@ -638,7 +638,7 @@
 	}
 }
 
-func (k *stateKey) entry(e keyrange.Entry) {
+func (k *searchStateKey) entry(e keyrange.Entry) {
 	k.rng(e.Range)
 	k.b = append(append(k.b, e.Backend...), 0)
 	k.start(e.Started)
@@ -646,7 +646,7 @@
 	k.bool(e.Moving)
 }
 
-func (k *stateKey) vm(i int) {
+func (k *searchStateKey) vm(i int) {
 	v := &k.s.vms[i]
 	k.bool(v.cut)
 	if v.cut {
@@ -677,7 +677,7 @@
 	}
 }
 
-func (k *stateKey) core(c *Core) {
+func (k *searchStateKey) core(c *Core) {
 	k.token(c.fence)
 	k.bool(c.version > c.accepted)
 	k.time(c.earlierCallsUntil, 0)
@@ -707,7 +707,7 @@
 }
 
 // calls encodes the calls, whose order does not matter.
-func (k *stateKey) calls() {
+func (k *searchStateKey) calls() {
 	head := k.b
 	parts := make([]string, len(k.s.calls))
 	for i := range k.s.calls {
@@ -723,7 +723,7 @@
 	}
 }
 
-func (k *stateKey) call(c *searchCall) {
+func (k *searchStateKey) call(c *searchCall) {
 	v := &k.s.vms[c.vm]
 	k.b = append(k.b, byte(c.vm), byte(c.server), byte(c.call.Kind))
 	k.start(c.process)
--- a/internal/keylease/search_test.go
+++ b/internal/keylease/search_test.go
@@ -25,41 +25,41 @@
 type searchKind uint8
 
 const (
-	// stepTime lets time pass, and stepAll has all VMs append, claim and send afterwards: those that
-	// lost the lease first, or in stepHolderFirst last.
-	stepTime searchKind = iota
-	stepAll
-	stepHolderFirst
-	// stepToClaim is stepTime until a VM may claim the lease, and stepToRecord is stepAll until the
-	// log has a new assignment; both at most maxSteps times.
-	stepToClaim
-	stepToRecord
-	// run has a VM that holds the lease, or believes so, append and send what is due. All calls
+	// evStepTime lets time pass, and evStepAll has all VMs append, claim and send afterwards: those that
+	// lost the lease first, or in evStepHolderFirst last.
+	evStepTime searchKind = iota
+	evStepAll
+	evStepHolderFirst
+	// evStepToClaim is evStepTime until a VM may claim the lease, and evStepToRecord is evStepAll until the
+	// log has a new assignment; both at most maxSearchSteps times.
+	evStepToClaim
+	evStepToRecord
+	// evRun has a VM that holds the lease, or believes so, append and send what is due. All calls
 	// are answered, or those to a backend server remain in flight, or are refused.
-	run
-	runBalance // with a plan to balance, which is made at no other event
-	runInFlight
-	runRefused
-	// runAppendLost is run with an append that takes effect without an answer.
-	runAppendLost
-	claim
-	claimLost
-	claimInFlight // followed by runInFlight
-	cutOff        // a VM off the shared log
-	rejoin
-	restartVM // a process that knows nothing starts at the address of the VM
-	answer    // a call in flight
-	apply     // a call in flight, or after its caller gave up, without an answer
-	leave     // the catalogue shows that a backend server leaves, or that it is back
-	comeBack
-	restart // a backend server under its ID and address
-	entry   // of the restarted backend server reaches the catalogue
-	work    // requests run on all keys of a backend server until their leases end
+	evRun
+	evRunBalance // with a plan to balance, which is made at no other event
+	evRunInFlight
+	evRunRefused
+	// evRunAppendLost is evRun with an append that takes effect without an answer.
+	evRunAppendLost
+	evClaim
+	evClaimLost
+	evClaimInFlight // followed by evRunInFlight
+	evCutOff        // a VM off the shared log
+	evRejoin
+	evRestartVM // a process that knows nothing starts at the address of the VM
+	evAnswer    // a call in flight
+	evApply     // a call in flight, or after its caller gave up, without an answer
+	evLeave     // the catalogue shows that a backend server leaves, or that it is back
+	evComeBack
+	evRestart // a backend server under its ID and address
+	evEntry   // of the restarted backend server reaches the catalogue
+	evWork    // requests run on all keys of a backend server until their leases end
 )
 
 var searchKindNames = []string{
-	"stepTime", "stepAll", "stepHolderFirst", "stepToClaim", "stepToRecord", "run", "runBalance", "runInFlight", "runRefused", "runAppendLost", "claim", "claimLost", "claimInFlight", "cutOff",
-	"rejoin", "restartVM", "answer", "apply", "leave", "comeBack", "restart", "entry", "work",
+	"evStepTime", "evStepAll", "evStepHolderFirst", "evStepToClaim", "evStepToRecord", "evRun", "evRunBalance", "evRunInFlight", "evRunRefused", "evRunAppendLost", "evClaim", "evClaimLost", "evClaimInFlight", "evCutOff",
+	"evRejoin", "evRestartVM", "evAnswer", "evApply", "evLeave", "evComeBack", "evRestart", "evEntry", "evWork",
 }
 
 // searchEvent is an event of the search; index is that of a VM, a backend server or a call, and
@@ -76,7 +76,7 @@
 // isFault reports whether an event counts as a fault.
 func (e searchEvent) isFault() bool {
 	switch e.kind {
-	case runInFlight, runRefused, runAppendLost, claimLost, claimInFlight, cutOff, restartVM, leave, comeBack, restart, work:
+	case evRunInFlight, evRunRefused, evRunAppendLost, evClaimLost, evClaimInFlight, evCutOff, evRestartVM, evLeave, evComeBack, evRestart, evWork:
 		return true
 	}
 	return false
@@ -92,10 +92,10 @@
 }
 
 // searchStart is the way to a state in which each backend server has half of the keys.
-var searchStart = []searchEvent{{stepAll, 0, 0}, {stepAll, 0, 0}, {stepAll, 0, 0}, {stepAll, 0, 0}}
+var searchStart = []searchEvent{{evStepAll, 0, 0}, {evStepAll, 0, 0}, {evStepAll, 0, 0}, {evStepAll, 0, 0}}
 
 // searchStartUneven continues to a state in which one has all keys and the other has come back.
-var searchStartUneven = []searchEvent{{leave, 0, 0}, {stepAll, 0, 0}, {stepAll, 0, 0}, {comeBack, 0, 0}}
+var searchStartUneven = []searchEvent{{evLeave, 0, 0}, {evStepAll, 0, 0}, {evStepAll, 0, 0}, {evComeBack, 0, 0}}
 
 // do applies an event.
 func (s *searchState) do(e searchEvent) {
@@ -104,66 +104,66 @@
 		s.faults++
 	}
 	switch e.kind {
-	case stepTime:
+	case evStepTime:
 		s.pass(s.step)
-	case stepToClaim, stepToRecord:
+	case evStepToClaim, evStepToRecord:
 		s.stepUntil(e.kind)
-	case stepAll, stepHolderFirst:
+	case evStepAll, evStepHolderFirst:
 		s.pass(s.step)
-		s.runAll(e.kind == stepHolderFirst)
-	case run:
+		s.runAll(e.kind == evStepHolderFirst)
+	case evRun:
 		s.run(i, true, 0, fateAnswered)
-	case runBalance:
+	case evRunBalance:
 		s.vms[i].core.lastBalance[searchService] = 0
 		s.run(i, true, 0, fateAnswered)
-	case runInFlight:
+	case evRunInFlight:
 		s.run(i, true, server, fateInFlight)
-	case runRefused:
+	case evRunRefused:
 		s.run(i, true, server, fateRefused)
-	case runAppendLost:
+	case evRunAppendLost:
 		s.append(i, false)
 		s.runIfHolder(i)
-	case claim, claimLost:
-		s.claim(i, e.kind == claim)
-	case claimInFlight:
+	case evClaim, evClaimLost:
+		s.claim(i, e.kind == evClaim)
+	case evClaimInFlight:
 		s.claim(i, true)
 		s.run(i, true, server, fateInFlight)
-	case cutOff:
+	case evCutOff:
 		s.vms[i].cut = true
-	case rejoin:
+	case evRejoin:
 		s.vms[i].cut = false
 		s.readRecord(i)
-	case restartVM:
+	case evRestartVM:
 		s.restartVM(i)
-	case answer:
+	case evAnswer:
 		s.answer(i)
-	case apply:
+	case evApply:
 		s.apply(i)
 		s.dropCalls()
-	case leave, comeBack:
-		s.servers[i].usable = e.kind == comeBack
-	case restart:
+	case evLeave, evComeBack:
+		s.servers[i].usable = e.kind == evComeBack
+	case evRestart:
 		s.restart(i)
-	case entry:
+	case evEntry:
 		s.servers[i].listed = s.servers[i].process
-	case work:
+	case evWork:
 		s.servers[i].busy = true
 	}
 	s.readCatalogue()
 }
 
-// maxSteps is the number of steps that one event may take.
-const maxSteps = 4
+// maxSearchSteps is the number of steps that one event may take.
+const maxSearchSteps = 4
 
-// stepUntil does stepToClaim or stepToRecord.
+// stepUntil does evStepToClaim or evStepToRecord.
 func (s *searchState) stepUntil(kind searchKind) {
 	record := s.record
-	for range maxSteps {
+	for range maxSearchSteps {
 		s.pass(s.step)
-		if kind == stepToRecord {
+		if kind == evStepToRecord {
 			s.runAll(false)
 		}
-		if kind == stepToClaim && (s.claimable(0) || s.claimable(1)) || s.record != record || s.violation != "" {
+		if kind == evStepToClaim && (s.claimable(0) || s.claimable(1)) || s.record != record || s.violation != "" {
 			return
 		}
 	}
@@ -194,23 +194,23 @@
 }
 
 // enabled returns the events that are possible in a state.
-func (x *search) enabled(s *searchState) []searchEvent {
-	events := []searchEvent{{stepTime, 0, 0}, {stepAll, 0, 0}, {stepToRecord, 0, 0}}
+func (x *stateSearch) enabled(s *searchState) []searchEvent {
+	events := []searchEvent{{evStepTime, 0, 0}, {evStepAll, 0, 0}, {evStepToRecord, 0, 0}}
 	if !s.claimable(0) && !s.claimable(1) {
-		events = append(events, searchEvent{stepToClaim, 0, 0})
+		events = append(events, searchEvent{evStepToClaim, 0, 0})
 	}
 	if s.vms[0].core != nil && s.vms[1].core != nil {
-		events = append(events, searchEvent{stepHolderFirst, 0, 0})
+		events = append(events, searchEvent{evStepHolderFirst, 0, 0})
 	}
 	for i := range s.vms {
 		events = append(events, s.enabledAt(uint8(i))...)
 	}
 	for i := range s.calls {
 		if s.calls[i].open {
-			events = append(events, searchEvent{answer, uint8(i), 0})
+			events = append(events, searchEvent{evAnswer, uint8(i), 0})
 		}
 		if !s.calls[i].applied {
-			events = append(events, searchEvent{apply, uint8(i), 0})
+			events = append(events, searchEvent{evApply, uint8(i), 0})
 		}
 	}
 	kept := events[:0]
@@ -227,36 +227,36 @@
 	var events []searchEvent
 	v, server := &s.vms[i], &s.servers[i]
 	if v.core != nil {
-		events = append(events, searchEvent{run, i, 0}, searchEvent{runInFlight, i, 0}, searchEvent{runInFlight, i, 1},
-			searchEvent{runRefused, i, 0}, searchEvent{runRefused, i, 1})
+		events = append(events, searchEvent{evRun, i, 0}, searchEvent{evRunInFlight, i, 0}, searchEvent{evRunInFlight, i, 1},
+			searchEvent{evRunRefused, i, 0}, searchEvent{evRunRefused, i, 1})
 		if s.unbalanced(v) {
-			events = append(events, searchEvent{runBalance, i, 0})
+			events = append(events, searchEvent{evRunBalance, i, 0})
 		}
 		if !v.cut {
-			events = append(events, searchEvent{runAppendLost, i, 0}, searchEvent{cutOff, i, 0})
+			events = append(events, searchEvent{evRunAppendLost, i, 0}, searchEvent{evCutOff, i, 0})
 		}
 	}
 	if !v.cut {
-		events = append(events, searchEvent{restartVM, i, 0})
+		events = append(events, searchEvent{evRestartVM, i, 0})
 	}
 	if v.cut {
-		events = append(events, searchEvent{rejoin, i, 0})
+		events = append(events, searchEvent{evRejoin, i, 0})
 	}
 	if s.claimable(int(i)) {
-		events = append(events, searchEvent{claim, i, 0}, searchEvent{claimLost, i, 0}, searchEvent{claimInFlight, i, 0}, searchEvent{claimInFlight, i, 1})
+		events = append(events, searchEvent{evClaim, i, 0}, searchEvent{evClaimLost, i, 0}, searchEvent{evClaimInFlight, i, 0}, searchEvent{evClaimInFlight, i, 1})
 	}
 	if server.listed != server.process {
-		events = append(events, searchEvent{entry, i, 0})
+		events = append(events, searchEvent{evEntry, i, 0})
 	}
 	if server.usable {
-		events = append(events, searchEvent{leave, i, 0})
+		events = append(events, searchEvent{evLeave, i, 0})
 	} else {
-		events = append(events, searchEvent{comeBack, i, 0})
+		events = append(events, searchEvent{evComeBack, i, 0})
 	}
 	if !server.busy && len(server.leases) > 0 {
-		events = append(events, searchEvent{work, i, 0})
+		events = append(events, searchEvent{evWork, i, 0})
 	}
-	return append(events, searchEvent{restart, i, 0})
+	return append(events, searchEvent{evRestart, i, 0})
 }
 
 // unbalanced reports whether a usable backend server has no range, and a VM may balance.
@@ -277,24 +277,24 @@
 	return held == keyrange.MaxKey+1
 }
 
-// maxWithoutOwner bounds the time from the last fault until all keys have owners.
-const maxWithoutOwner = 12 * time.Second
+// maxSearchWithoutOwner bounds the time from the last fault until all keys have owners.
+const maxSearchWithoutOwner = 12 * time.Second
 
 // settle ends all faults and returns after how long all keys have an owner, or false if they have
-// none for maxWithoutOwner.
+// none for maxSearchWithoutOwner.
 func (s *searchState) settle() (time.Duration, bool) {
 	usable := s.servers[0].usable || s.servers[1].usable
 	for i := range s.vms {
 		if s.vms[i].cut {
-			s.do(searchEvent{rejoin, uint8(i), 0})
+			s.do(searchEvent{evRejoin, uint8(i), 0})
 		}
 		s.servers[i].usable = s.servers[i].usable || !usable
 		s.servers[i].listed, s.servers[i].busy = s.servers[i].process, false
 	}
 	s.readCatalogue()
 	from := s.now
-	for s.now < from+maxWithoutOwner {
-		s.do(searchEvent{stepAll, 0, 0})
+	for s.now < from+maxSearchWithoutOwner {
+		s.do(searchEvent{evStepAll, 0, 0})
 		if s.violation != "" || s.allKeysOwned() {
 			return s.now - from, true
 		}
@@ -308,8 +308,8 @@
 	event  searchEvent
 }
 
-// search is a breadth-first search of the states behind start.
-type search struct {
+// stateSearch is a breadth-first search of the states behind start.
+type stateSearch struct {
 	name             string
 	step             time.Duration
 	start            []searchEvent
@@ -326,25 +326,25 @@
 	faultyAt []searchEvent
 }
 
-// successor is a state found from a node.
-type successor struct {
+// searchSuccessor is a state found from a node.
+type searchSuccessor struct {
 	state *searchState
 	key   [16]byte
 	node  searchNode
 }
 
-// frontier is a state of the last level.
-type frontier struct {
+// searchFrontier is a state of the last level.
+type searchFrontier struct {
 	state *searchState
 	node  int32
 }
 
-// settleSample is the share of states that are checked for keys without an owner: one of so many.
-const settleSample = 16
+// searchSettleSample is the share of states that are checked for keys without an owner: one of so many.
+const searchSettleSample = 16
 
 // run searches level by level, so that the first violation has the shortest order of events. The
 // result does not depend on the number of processors.
-func (x *search) run() {
+func (x *stateSearch) run() {
 	s := newSearchState(x.step)
 	for _, e := range x.start {
 		s.do(e)
@@ -352,7 +352,7 @@
 	s.faults = 0
 	x.seen = map[[16]byte]struct{}{searchKey(s, nil): {}}
 	x.nodes = []searchNode{{parent: -1}}
-	level := []frontier{{s, 0}}
+	level := []searchFrontier{{s, 0}}
 	for x.reached < x.depth && len(level) > 0 && x.fault == "" {
 		level = x.next(level)
 		x.reached++
@@ -364,8 +364,8 @@
 const searchChunk = 2048
 
 // next returns the new states behind those of a level.
-func (x *search) next(level []frontier) []frontier {
-	var out []frontier
+func (x *stateSearch) next(level []searchFrontier) []searchFrontier {
+	var out []searchFrontier
 	for len(level) > 0 && x.fault == "" {
 		n := min(searchChunk, len(level))
 		for _, found := range x.expandAll(level[:n]) {
@@ -382,8 +382,8 @@
 }
 
 // expandAll expands states in parallel.
-func (x *search) expandAll(states []frontier) [][]successor {
-	found := make([][]successor, len(states))
+func (x *stateSearch) expandAll(states []searchFrontier) [][]searchSuccessor {
+	found := make([][]searchSuccessor, len(states))
 	var workers sync.WaitGroup
 	count := runtime.GOMAXPROCS(0)
 	for w := range count {
@@ -399,21 +399,21 @@
 }
 
 // expand returns the successors of a state that were not seen at earlier states.
-func (x *search) expand(f frontier, buffer *[]byte) []successor {
-	var found []successor
+func (x *stateSearch) expand(f searchFrontier, buffer *[]byte) []searchSuccessor {
+	var found []searchSuccessor
 	for _, e := range x.enabled(f.state) {
 		s := f.state.clone()
 		s.do(e)
 		key := searchKey(s, buffer)
 		if _, seen := x.seen[key]; !seen || s.violation != "" {
-			found = append(found, successor{s, key, searchNode{f.node, e}})
+			found = append(found, searchSuccessor{s, key, searchNode{f.node, e}})
 		}
 	}
 	return found
 }
 
-// add adds a successor to the states, unless it was seen.
-func (x *search) add(out []frontier, f successor) []frontier {
+// add adds a searchSuccessor to the states, unless it was seen.
+func (x *stateSearch) add(out []searchFrontier, f searchSuccessor) []searchFrontier {
 	if f.state.violation != "" {
 		x.fail(f.state.violation, f.node)
 		return out
@@ -423,7 +423,7 @@
 	}
 	x.seen[f.key] = struct{}{}
 	x.nodes = append(x.nodes, f.node)
-	if len(x.nodes)%settleSample == 0 {
+	if len(x.nodes)%searchSettleSample == 0 {
 		x.sampled++
 		s := f.state.clone()
 		after, ok := s.settle()
@@ -431,15 +431,15 @@
 		case s.violation != "":
 			x.fail("without further faults: "+s.violation, f.node)
 		case !ok:
-			x.fail(fmt.Sprintf("keys have no owner for %s without further faults", maxWithoutOwner), f.node)
+			x.fail(fmt.Sprintf("keys have no owner for %s without further faults", maxSearchWithoutOwner), f.node)
 		}
 		x.settled = max(x.settled, after)
 	}
-	return append(out, frontier{f.state, int32(len(x.nodes) - 1)})
+	return append(out, searchFrontier{f.state, int32(len(x.nodes) - 1)})
 }
 
 // fail notes a violation and the events that lead to it.
-func (x *search) fail(violation string, node searchNode) {
+func (x *stateSearch) fail(violation string, node searchNode) {
 	x.fault = violation
 	var events []searchEvent
 	for ; node.parent >= 0; node = x.nodes[node.parent] {
@@ -480,11 +480,11 @@
 // last owner is at work, tokens that fall, and keys without an owner, after any order of a few events.
 func TestSearch(t *testing.T) {
 	uneven := append(searchStart[:len(searchStart):len(searchStart)], searchStartUneven...)
-	takeover := []searchKind{cutOff, leave, claimInFlight, runInFlight}
-	twoTakeovers := []searchKind{cutOff, leave, claimInFlight, restartVM}
-	merged := []searchKind{leave, comeBack, runInFlight, runRefused}
+	takeover := []searchKind{evCutOff, evLeave, evClaimInFlight, evRunInFlight}
+	twoTakeovers := []searchKind{evCutOff, evLeave, evClaimInFlight, evRestartVM}
+	merged := []searchKind{evLeave, evComeBack, evRunInFlight, evRunRefused}
 	short, long := searchSteps[0], searchSteps[1]
-	for _, x := range []search{
+	for _, x := range []stateSearch{
 		{name: "any order", step: short, start: searchStart, depth: 3, maxFaults: 3},
 		{name: "few faults", step: long, start: searchStart, depth: 4, maxFaults: 2},
 		{name: "takeover", step: long, start: searchStart, depth: 4, maxFaults: 3, faults: takeover},
@@ -500,7 +500,7 @@
 }
 
 // applyFlags sets what the flags of the test state.
-func (x *search) applyFlags() {
+func (x *stateSearch) applyFlags() {
 	if *searchDepth > 0 {
 		x.depth, x.maxFaults = *searchDepth, *searchFaults
 	}
@@ -510,7 +510,7 @@
 }
 
 // runTest runs the search and fails the test at a violation.
-func (x *search) runTest(t *testing.T) {
+func (x *stateSearch) runTest(t *testing.T) {
 	from := time.Now()
 	x.run()
 	t.Logf("%d states, depth %d, up to %d faults, levels %v, %d sampled for owners (longest wait %s), %s",
@@ -529,52 +529,52 @@
 	}{
 		// The range was given on before the last lease by a call of the last holder had ended.
 		"late renewal by the last holder after an unconfirmed release": {990 * time.Millisecond, []searchEvent{
-			{stepToClaim, 0, 0}, {cutOff, 0, 0}, {leave, 0, 0}, {claimInFlight, 1, 0}, {stepHolderFirst, 0, 0}, {stepToRecord, 0, 0},
+			{evStepToClaim, 0, 0}, {evCutOff, 0, 0}, {evLeave, 0, 0}, {evClaimInFlight, 1, 0}, {evStepHolderFirst, 0, 0}, {evStepToRecord, 0, 0},
 		}},
 		// A release was taken for final although a grant had no answer.
 		"grant applied after a release": {870 * time.Millisecond, []searchEvent{
-			{stepToClaim, 0, 0}, {leave, 0, 0}, {claimInFlight, 1, 0}, {stepAll, 0, 0}, {apply, 0, 0},
+			{evStepToClaim, 0, 0}, {evLeave, 0, 0}, {evClaimInFlight, 1, 0}, {evStepAll, 0, 0}, {evApply, 0, 0},
 		}},
 		// A grant without an answer did not extend the lease.
 		"renewal applied late": {870 * time.Millisecond, []searchEvent{
-			{stepTime, 0, 0}, {runInFlight, 0, 0}, {stepToClaim, 0, 0}, {runRefused, 0, 0}, {apply, 0, 0},
+			{evStepTime, 0, 0}, {evRunInFlight, 0, 0}, {evStepToClaim, 0, 0}, {evRunRefused, 0, 0}, {evApply, 0, 0},
 		}},
 		// A grant was sent before the log had it.
 		"owner that is not recorded": {870 * time.Millisecond, []searchEvent{
-			{stepToClaim, 0, 0}, {runRefused, 0, 0}, {cutOff, 0, 0}, {stepToRecord, 0, 0},
+			{evStepToClaim, 0, 0}, {evRunRefused, 0, 0}, {evCutOff, 0, 0}, {evStepToRecord, 0, 0},
 		}},
-		// A successor granted ranges with the recorded tokens.
+		// A searchSuccessor granted ranges with the recorded tokens.
 		"recorded token for another process": {870 * time.Millisecond, []searchEvent{
-			{stepToClaim, 0, 0}, {restart, 0, 0}, {claimInFlight, 1, 1},
+			{evStepToClaim, 0, 0}, {evRestart, 0, 0}, {evClaimInFlight, 1, 1},
 		}},
 		// An entry of the catalogue freed a range.
 		"entry of a restarted owner that holds a lease": {990 * time.Millisecond, []searchEvent{
-			{restart, 0, 0}, {stepAll, 0, 0}, {entry, 0, 0}, {runRefused, 0, 0},
+			{evRestart, 0, 0}, {evStepAll, 0, 0}, {evEntry, 0, 0}, {evRunRefused, 0, 0},
 		}},
 		// The joined range had the end of the left lease only.
 		"longer lease of the right part of joined ranges": {870 * time.Millisecond, []searchEvent{
-			{leave, 1, 0}, {runInFlight, 0, 0}, {comeBack, 1, 0}, {answer, 0, 0}, {stepToClaim, 0, 0}, {stepTime, 0, 0}, {runRefused, 0, 0},
+			{evLeave, 1, 0}, {evRunInFlight, 0, 0}, {evComeBack, 1, 0}, {evAnswer, 0, 0}, {evStepToClaim, 0, 0}, {evStepTime, 0, 0}, {evRunRefused, 0, 0},
 		}},
 		// A claim did not state what was known of earlier holders.
 		"renewal by a holder before a restarted one": {990 * time.Millisecond, []searchEvent{
-			{stepToClaim, 0, 0}, {cutOff, 0, 0}, {leave, 0, 0}, {claim, 1, 0}, {restartVM, 1, 0}, {claimInFlight, 1, 0}, {stepHolderFirst, 0, 0}, {stepToRecord, 0, 0},
+			{evStepToClaim, 0, 0}, {evCutOff, 0, 0}, {evLeave, 0, 0}, {evClaim, 1, 0}, {evRestartVM, 1, 0}, {evClaimInFlight, 1, 0}, {evStepHolderFirst, 0, 0}, {evStepToRecord, 0, 0},
 		}},
 		// A confirmation that was not sent made the release final.
 		"release after a confirmation that was not sent": {990 * time.Millisecond, []searchEvent{
-			{stepToClaim, 0, 0}, {cutOff, 0, 0}, {leave, 0, 0}, {claim, 1, 0}, {runRefused, 1, 0}, {stepHolderFirst, 0, 0},
+			{evStepToClaim, 0, 0}, {evCutOff, 0, 0}, {evLeave, 0, 0}, {evClaim, 1, 0}, {evRunRefused, 1, 0}, {evStepHolderFirst, 0, 0},
 		}},
 		// The last holder sent a new grant when another VM could have claimed the lease. Written by
 		// hand, since it has more events than the search reaches.
 		"grant by the last holder to a process that started since": {990 * time.Millisecond, []searchEvent{
-			{stepTime, 0, 0}, {runInFlight, 0, 0}, {stepTime, 0, 0}, {runRefused, 0, 0}, {cutOff, 0, 0}, {leave, 0, 0},
-			{stepToClaim, 0, 0}, {claim, 1, 0}, {run, 1, 0}, {restart, 0, 0}, {run, 0, 0},
+			{evStepTime, 0, 0}, {evRunInFlight, 0, 0}, {evStepTime, 0, 0}, {evRunRefused, 0, 0}, {evCutOff, 0, 0}, {evLeave, 0, 0},
+			{evStepToClaim, 0, 0}, {evClaim, 1, 0}, {evRun, 1, 0}, {evRestart, 0, 0}, {evRun, 0, 0},
 		}},
-		// A successor took every last holder for one that resigned.
+		// A searchSuccessor took every last holder for one that resigned.
 		"lease of a holder that did not resign": {870 * time.Millisecond, []searchEvent{
-			{cutOff, 0, 0}, {leave, 0, 0}, {stepToRecord, 0, 0}, {stepAll, 0, 0},
+			{evCutOff, 0, 0}, {evLeave, 0, 0}, {evStepToRecord, 0, 0}, {evStepAll, 0, 0},
 		}},
 		// Renewals were sent to processes that did not have the range.
-		"renewal for a restarted owner": {870 * time.Millisecond, []searchEvent{{stepTime, 0, 0}, {restart, 0, 0}}},
+		"renewal for a restarted owner": {870 * time.Millisecond, []searchEvent{{evStepTime, 0, 0}, {evRestart, 0, 0}}},
 	} {
 		t.Run(name, func(t *testing.T) { replaySearch(t, order.step, order.events) })
 	}
@@ -585,7 +585,7 @@
 // grant that confirms the range before its release repeated the token.
 func TestConfirmationAfterRestart(t *testing.T) {
 	replaySearch(t, 990*time.Millisecond, []searchEvent{
-		{stepToClaim, 0, 0}, {claimInFlight, 1, 0}, {leave, 0, 0}, {run, 1, 0}, {answer, 0, 0}, {restart, 0, 0}, {stepAll, 0, 0},
+		{evStepToClaim, 0, 0}, {evClaimInFlight, 1, 0}, {evLeave, 0, 0}, {evRun, 1, 0}, {evAnswer, 0, 0}, {evRestart, 0, 0}, {evStepAll, 0, 0},
 	})
 }
 
