rulecheck: run the tests on the fake clock first

A rule took as long as all tests of its packages: 90 s for internal/keylease and more than 200 s for platform beside other work, most of it on the real clock. Tests that run VMs or lease holders on the real clock are left out with -short, which rulecheck uses first; a rule that survives is checked with all tests.

--- a/internal/keylease/lessor_test.go
+++ b/internal/keylease/lessor_test.go
@@ -196,6 +196,9 @@
 
 func startLessorAt(t *testing.T, log *memoryLog, name, address string) *testLessor {
 	t.Helper()
+	if testing.Short() {
+		t.Skip("runs on the real clock")
+	}
 	l := &testLessor{log: &vmLog{memoryLog: log}, grants: &countingGranter{}}
 	never := make(chan struct{})
 	l.Lessor = NewLessor(LessorOptions{
--- a/internal/rulecheck/check.go
+++ b/internal/rulecheck/check.go
@@ -52,6 +52,11 @@
 	if err != nil {
 		return verdict{}, err
 	}
+	// Tests on the real clock, which -short leaves out, take minutes.
+	v, err := c.runTests(ctx, r.Packages, "-overlay", overlay, "-short")
+	if err != nil || v.failed {
+		return v, err
+	}
 	return c.runTests(ctx, r.Packages, "-overlay", overlay)
 }
 
