Count the time of a call from the decision to make it

A call of a lease holder that waited for the processor was given up up to its whole wait later than a successor expects, which counts 0.7 s from the record by which the lease was given up. Bytes that a partition held up meanwhile could still arrive as a grant.

Cause: the timeout began in the goroutine of the call. TestCallThatStartsLate failed before (720 ms where 700 ms are allowed).

--- a/internal/keylease/chain_test.go
+++ b/internal/keylease/chain_test.go
@@ -146,3 +146,38 @@
 	l.abandon(t.Context())
 	is.Equal(log.size(), 1)
 }
+
+// contextGranter is a Granter that passes on the contexts of its calls.
+type contextGranter func(context.Context)
+
+func (f contextGranter) Grant(ctx context.Context, _ Target, _ Grant) error {
+	f(ctx)
+	return nil
+}
+
+func (f contextGranter) Release(ctx context.Context, _ Target, _ Grant) (string, error) {
+	f(ctx)
+	return "", nil
+}
+
+// TestCallThatStartsLate guards against a call that waits for the processor after the decision to make
+// it, and is given up later than a successor expects by the same time.
+func TestCallThatStartsLate(t *testing.T) {
+	for kind, timeout := range map[CallKind]time.Duration{CallGrant: grantTimeout, CallRelease: releaseTimeout} {
+		var waiting func()
+		var limit time.Time
+		l := NewLessor(LessorOptions{
+			Clock: &clock.Fake{Time: time.Minute}, Logger: zap.NewNop(),
+			Granter: contextGranter(func(ctx context.Context) { limit, _ = ctx.Deadline() }),
+		})
+		l.results, l.lease = make(chan callResult, 1), &leaseState{}
+		l.background = func(task func()) { waiting = task }
+		l.sendCall(t.Context(), Call{Kind: kind})
+		decidedBy := time.Now()
+		time.Sleep(20 * time.Millisecond)
+		waiting()
+		if left := limit.Sub(decidedBy); left > timeout {
+			t.Errorf("call %d is given up %s after the decision, %s are allowed", kind, left, timeout)
+		}
+	}
+}
--- a/internal/keylease/lessor.go
+++ b/internal/keylease/lessor.go
@@ -487,16 +487,19 @@
 	if call.isNewGrant() {
 		lease.newGrants++
 	}
+	timeout := grantTimeout
+	if call.Kind == CallRelease {
+		timeout = releaseTimeout
+	}
+	// The time runs from the decision: a successor counts it from the record by which the lease ends.
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	l.background(func() {
+		defer cancel()
 		r := callResult{call: call, lease: lease}
 		if call.Kind == CallRelease {
-			ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-			defer cancel()
-			r.handover, r.err = l.Granter.Release(ctx, call.Target, call.Grant)
+			r.handover, r.err = l.Granter.Release(limited, call.Target, call.Grant)
 		} else {
-			ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-			defer cancel()
-			r.err = l.Granter.Grant(ctx, call.Target, call.Grant)
+			r.err = l.Granter.Grant(limited, call.Target, call.Grant)
 		}
 		select {
 		case l.results <- r:
