Reject a chunked body that stops in its trailers as late, not as malformed

A caller whose chunked body stopped within the trailers, or before the line that ends them, was answered 400 at the end of its time or of a stop, which tells callers not to send the request again.

Cause: as for a head, the parser hides the timeout of the read.

The case 'slow trailer' of TestInvalidRequests failed before (400) and passes; the other new ones pass before and after.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -130,6 +130,11 @@
 		{"large head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n", 431},
 		{"endless head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20000), 431},
 		{"slow head", "GET / HTTP/1.1\r\n", 408},
+		{"slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab", 408},
+		{"slow chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", 408},
+		{"slow length of a chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5", 408},
+		{"slow end of a chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r", 408},
+		{"slow trailer", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\nX", 408},
 		{"slow line of the head", "GET / HTTP/1.1\r\nHos", 408},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -71,11 +71,8 @@
 		c.stopReading(0)
 	}
 	r, err := http.ReadRequest(c.reader)
-	if err != nil && isTimeout(c.limitedReader.Err) {
-		err = c.limitedReader.Err // instead of what is wrong with the part of a line that has arrived
-	}
 	if err != nil {
-		return nil, headError(err)
+		return nil, headError(c.causeOf(err))
 	}
 	if headSize(r) > limits.HeaderBytes {
 		return nil, &requestError{http.StatusRequestHeaderFieldsTooLarge, "head-too-large"}
@@ -111,6 +108,15 @@
 	return &requestError{http.StatusBadRequest, "malformed"}
 }
 
+// causeOf returns the timeout that ended the reading of a request, instead of what its parser says
+// of the part that has arrived, or else err.
+func (c *connection) causeOf(err error) error {
+	if err != nil && isTimeout(c.limitedReader.Err) {
+		return c.limitedReader.Err
+	}
+	return err
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
@@ -158,6 +164,7 @@
 		}
 	}
 	body, reserved, err := c.server.Memory.ReadAll(r.Body, r.ContentLength, maxBytes)
+	err = c.causeOf(err)
 	switch {
 	case errors.Is(err, membudget.ErrExhausted):
 		return nil, &requestError{http.StatusServiceUnavailable, "memory-exhausted"}
