--- a/internal/rulecheck/check.go
+++ b/internal/rulecheck/check.go
@@ -21,6 +21,7 @@
 type checker struct {
 	root    string // directory of the module
 	tests   string // regular expression of the tests to run; empty for all
+	first   bool   // whether the first failure of a package ends its tests
 	timeout time.Duration
 }
 
@@ -88,6 +89,9 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+buildTime)
 	defer cancel()
 	args := append([]string{"test", "-json", "-vet=off", "-count=1", "-timeout", c.timeout.String(), "-run", c.tests}, flags...)
+	if c.first {
+		args = append(args, "-failfast")
+	}
 	command := exec.CommandContext(ctx, "go", append(args, packages...)...)
 	command.Dir = c.root
 	var stderr bytes.Buffer
--- a/internal/rulecheck/main.go
+++ b/internal/rulecheck/main.go
@@ -34,6 +34,7 @@
 	names := flag.String("run", "", "regular expression of the rules to check, by name")
 	tests := flag.String("tests", "", "regular expression of the tests to run; all if empty")
 	jobs := flag.Int("jobs", 2, "number of rules that are checked at once")
+	first := flag.Bool("first", false, "stop the tests of a rule at the first failure")
 	timeout := flag.Duration("timeout", 10*time.Minute, "limit for the tests of one rule")
 	flag.Parse()
 	pattern, err := regexp.Compile(*names)
@@ -47,7 +48,7 @@
 	if _, err := os.Stat(filepath.Join(root, "go.mod")); err != nil {
 		return false, errors.Wrap(err, "run rulecheck from the root of the module")
 	}
-	c := checker{root: root, tests: *tests, timeout: *timeout}
+	c := checker{root: root, tests: *tests, first: *first, timeout: *timeout}
 	ctx, rules := context.Background(), selectRules(pattern)
 	if err := c.checkUnedited(ctx, rules); err != nil {
 		return false, err
