Take no answer of another process for a sign of life of one that has ended

Some 3 s after a crash another process has the address. VMs that still list the old one send to it and get 421, since they state whom they expect. That answer counted as one of the process that had ended: its crash was dropped at all VMs, and a quarantined request was released. In the logs all 86 answers of processes that had been reported as ended were such answers.

An answer that the request reached another process says nothing of the one that it was meant for. TestCrashBeforeSuccessorAnswers failed before (the crash no longer counted) and passes 10 of 10 times.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -342,7 +342,9 @@
 			b.addLatency(relative, parsed.Load)
 		}
 	})
-	f.observeResponse(rs, b, f.Clock.Now()-event.Took, parsed.Signed && !failed)
+	if !parsed.NotOwner { // otherwise another process may have got the address
+		f.observeResponse(rs, b, f.Clock.Now()-event.Took, parsed.Signed && !failed)
+	}
 	if parsed.NotRun {
 		event.Detail = "not run"
 		rs.runs--
