--- a/internal/keylease/resignation_test.go
+++ b/internal/keylease/resignation_test.go
@@ -173,3 +173,15 @@
 	s.is.Equal(s.newest().EarlierCalls, AssignmentLeaseDuration+grantTimeout-silenceLimit)
 	s.is.Equal(s.newest().Address, "second")
 }
+
+// TestResignationAfterResignation guards against a lease holder that took over from one which had
+// resigned, resigns soon after, and states unanswered grants that nobody has sent: its successor moves
+// no range for balance for seconds.
+func TestResignationAfterResignation(t *testing.T) {
+	now := time.Minute
+	recorded := &keyrange.Assignment{Fence: 100, Services: map[string][]keyrange.Entry{"s": ownedBy("a", allKeys)}}
+	c := NewCore("vm", recorded, 0, now, Predecessor{Resigned: true, CallsUntil: now})
+	if c.HasUncertainGrants(now + scriptStep) {
+		t.Error("a claim after a resignation has unanswered grants")
+	}
+}
