--- a/internal/keylease/merge_test.go
+++ b/internal/keylease/merge_test.go
@@ -38,6 +38,34 @@
 	s.runUntil("held by b", 0, s.holds("b", allKeys))
 }
 
+// TestUnconfirmedReleaseOfMergedRange guards against the same if the acceptance of that grant was the
+// answer to another one, and no later grant reaches the owner before it releases the merged range.
+func TestUnconfirmedReleaseOfMergedRange(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", lowKeys, highKeys)...)
+	s.fate = firstGrants("a", prompt, notSent, fate{applies: 2500 * time.Millisecond, answered: 2 * scriptStep})
+	s.runUntil("merged", time.Second, func() bool { return s.ranges() == 1 })
+	s.fate = func(call Call) fate {
+		if call.Kind == CallGrant && call.Target.Backend == "a" {
+			return notSent
+		}
+		return prompt
+	}
+	s.leave("a", "b")
+	s.runUntil("held by b", 4*time.Second, s.holds("b", allKeys))
+	s.runFor(time.Second)
+}
+
+// TestResignationAfterMerge guards against a resignation that states no unanswered grants, since a
+// merge forgot those of the upper one of two ranges.
+func TestResignationAfterMerge(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", lowKeys, highKeys)...)
+	s.fate = misreadAcceptance(highKeys, 2*time.Second)
+	s.runUntil("merged", 2*time.Second, func() bool { return s.ranges() == 1 })
+	if !s.core.HasUncertainGrants(s.now) {
+		t.Error("the merged range has no unanswered grant")
+	}
+}
+
 // TestLeaseOfMergedRange guards against two backend servers that hold a key, since the lease of
 // the upper one of two merged ranges ends after that of the lower one.
 func TestLeaseOfMergedRange(t *testing.T) {
--- a/internal/keylease/uncertain_test.go
+++ b/internal/keylease/uncertain_test.go
@@ -17,6 +17,24 @@
 	s.runFor(6 * time.Second)
 }
 
+// TestUnconfirmedReleaseOfSplitRange guards against the same if the acceptance of that grant was the
+// answer to another one, and the owner releases a piece without a grant on a connection of its own.
+func TestUnconfirmedReleaseOfSplitRange(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", allKeys)...)
+	late := firstGrants("a", fate{applies: 2500 * time.Millisecond, answered: 2 * scriptStep})
+	s.fate = func(call Call) fate {
+		if call.Grant.Confirm {
+			return notSent
+		}
+		return late(call)
+	}
+	s.runFor(800 * time.Millisecond)
+	s.list("b").Usable = true
+	s.addLoad(10)
+	s.runUntil("split", time.Second, func() bool { return s.ranges() > 1 })
+	s.runFor(6 * time.Second)
+}
+
 // TestUncertainGrantOfEndedProcess guards against keys that stay without an owner, since a grant to
 // the last owner but one is taken to take effect after its process has ended.
 func TestUncertainGrantOfEndedProcess(t *testing.T) {
