--- a/internal/keylease/resignation_test.go
+++ b/internal/keylease/resignation_test.go
@@ -185,3 +185,29 @@
 		t.Error("a claim after a resignation has unanswered grants")
 	}
 }
+
+// TestResignationAfterSilentPredecessor guards against a resignation that states no unanswered grants
+// while a silent predecessor may still send some, since an unanswered grant after the claim ends earlier.
+func TestResignationAfterSilentPredecessor(t *testing.T) {
+	const callsUntil = 2 * time.Second
+	s := newScript(t, Predecessor{CallsUntil: callsUntil}, ownedBy("a", allKeys)...)
+	s.fate = firstGrants("a", unanswered)
+	s.runUntil("answered", 4*time.Second, func() bool { return len(s.sent) > 1 })
+	if !s.core.HasUncertainGrants(callsUntil + RangeLeaseDuration) {
+		t.Error("the grants of the predecessor no longer count")
+	}
+}
+
+// TestResignationAfterConfirmingGrant guards against a resignation that states unanswered grants although
+// their owner has accepted a confirming grant since, so that its successor balances no load for seconds.
+func TestResignationAfterConfirmingGrant(t *testing.T) {
+	s := newScript(t, Predecessor{Resigned: true}, ownedBy("a", allKeys)...)
+	s.fate = firstGrants("a", unanswered)
+	s.runUntil("answered", time.Second, func() bool { return s.core.HasUncertainGrants(s.now) })
+	s.leave("a", "b")
+	s.runUntil("held by b", time.Second, s.holds("b", allKeys))
+	s.runFor(2 * scriptStep)
+	if s.core.HasUncertainGrants(s.now) {
+		t.Error("the grants before the confirming one still count")
+	}
+}
