--- a/internal/keylease/resignation_test.go
+++ b/internal/keylease/resignation_test.go
@@ -157,6 +157,7 @@
 	s.lease = &leaseState{core: core}
 	s.finishCall(r)
 	s.is.True(!core.HasUncertainGrants(s.clock.Now()))
+	s.is.Equal(s.lease.newGrants, 0) // none that the present lease has sent
 	s.lease = r.lease
 	s.finishCall(r)
 	s.is.True(s.lease.core.HasUncertainGrants(s.clock.Now()))
