--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -15,7 +15,7 @@
 	coldPerS    = 21.0
 	coldOverage = 1.5
 	coldSlack   = 5.0
-	restarts    = 19
+	restarts    = 22
 	coldBound   = coldPerS*coldOverage + coldSlack
 	// downTime is how long a worker that restarts does not listen.
 	downTime = 50 * time.Millisecond
@@ -86,7 +86,7 @@
 					select {
 					case <-stop:
 						return
-					case <-time.After(time.Duration(rand.ExpFloat64() * float64(38*time.Millisecond))):
+					case <-time.After(time.Duration(rand.ExpFloat64() * float64(36*time.Millisecond))):
 					}
 					clients.Go(func() {
 						c.send("trilha.example", 1200*time.Millisecond, 40*time.Millisecond+rand.N(50*time.Millisecond))
@@ -102,7 +102,7 @@
 				return false, err
 			}
 		}
-		time.Sleep(4500 * time.Millisecond)
+		time.Sleep(4200 * time.Millisecond)
 	}
 	close(stop)
 	clients.Wait()
