--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/fireflyfield ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin gone review/4
+exec target/review-standin attempts review/4
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 // runCase runs a case and writes its record into the folder.
 func runCase(name, folder string) int {
 	cases := map[string]func(dir string, out io.Writer, trouble bool) (broken bool, err error){
-		"cold": coldCase, "attempts": attemptsCase, "gone": goneCase, "early": earlyCase,
+		"cold": coldCase, "attempts": attemptsCase, "gone": goneCase, "quota": quotaCase,
 	}
 	c := cases[name]
 	if c == nil {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -475,6 +475,11 @@
 // config returns a configuration with one service without keys and one route, whose requests are
 // idempotent.
 func config(timeoutS, targetS float64, maxAttempts int) []byte {
+	return configFor(timeoutS, targetS, maxAttempts, 2000, 2000)
+}
+
+// configFor is config with the rate and burst of the tenant.
+func configFor(timeoutS, targetS float64, maxAttempts int, rate, burst float64) []byte {
 	table := func(columns []string, rows ...[]any) map[string]any {
 		return map[string]any{"columns": columns, "rows": rows}
 	}
@@ -484,7 +489,7 @@
 			[]any{"r-lookup", "trilha.example", "/lookup/", "safe", timeoutS, targetS, 2, maxAttempts, false, "trilha"}),
 		"services": table([]string{"name", "healthPath", "maxConnections", "coldStartS", "coldPerS", "sharded"},
 			[]any{"trilha", platformtest.HealthPath, 63, 3.0, 21.0, nil}),
-		"tenants": table([]string{"name", "apiKeys", "priority", "ratePerS", "burst"}, []any{tenant, []string{callerKey}, 1, 2000, 2000}),
+		"tenants": table([]string{"name", "apiKeys", "priority", "ratePerS", "burst"}, []any{tenant, []string{callerKey}, 1, rate, burst}),
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
 	})
 	if err != nil {
