--- a/review/standin/attempts.go
+++ b/review/standin/attempts.go
@@ -15,7 +15,10 @@
 // workers. The VMs of a zone are partitioned from all workers, so that others send their requests
 // on, and four of these are killed.
 func attemptsCase(dir string, out io.Writer, trouble bool) (bool, error) {
-	const maxAttempts = 2
+	const (
+		maxAttempts = 2
+		rounds      = 2
+	)
 	w, err := newWorld(dir, out, config(1.5, 0.5, maxAttempts))
 	if err != nil {
 		return false, err
@@ -56,33 +59,45 @@
 			}
 		})
 	}
-	time.Sleep(5 * time.Second)
-	if trouble {
-		for _, v := range cutVMs {
-			w.partition.Cut(v.ip, platformtest.ResetAll)
-			w.record.printf("TROUBLE  %s is partitioned from all workers: connections are reset, new ones refused", v.name)
+	for range rounds {
+		time.Sleep(8 * time.Second)
+		if trouble {
+			if err := w.cutAndKill(cutVMs, killed); err != nil {
+				return false, err
+			}
 		}
 	}
-	time.Sleep(3 * time.Second)
-	if trouble {
-		var kills sync.WaitGroup
-		for _, v := range killed {
-			w.record.printf("TROUBLE  %s is killed", v.name)
-			kills.Go(v.kill)
-		}
-		kills.Wait()
+	time.Sleep(2 * time.Second)
+	close(stop)
+	clients.Wait()
+	return w.judgeAttempts(maxAttempts, cutVMs), nil
+}
+
+// cutAndKill partitions VMs from all workers, kills others meanwhile and starts them again.
+func (w *world) cutAndKill(cutVMs, killed []*vm) error {
+	for _, v := range cutVMs {
+		w.partition.Cut(v.ip, platformtest.ResetAll)
+		w.record.printf("TROUBLE  %s is partitioned from all workers: connections are reset, new ones refused", v.name)
 	}
 	time.Sleep(3 * time.Second)
-	if trouble {
-		for _, v := range cutVMs {
-			w.partition.Heal(v.ip)
-			w.record.printf("TROUBLE  the partition of %s ends", v.name)
+	var kills sync.WaitGroup
+	for _, v := range killed {
+		w.record.printf("TROUBLE  %s is killed", v.name)
+		kills.Go(v.kill)
+	}
+	kills.Wait()
+	time.Sleep(time.Second)
+	for _, v := range killed {
+		if err := v.start(); err != nil {
+			return err
 		}
 	}
 	time.Sleep(2 * time.Second)
-	close(stop)
-	clients.Wait()
-	return w.judgeAttempts(maxAttempts, cutVMs), nil
+	for _, v := range cutVMs {
+		w.partition.Heal(v.ip)
+		w.record.printf("TROUBLE  the partition of %s ends", v.name)
+	}
+	return nil
 }
 
 // workTime draws how long a request runs: 160 ms on average with a wide spread, at most 980 ms, as
--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -142,7 +142,7 @@
 }
 
 func (c *coldWorker) serveRequest(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Fireflyfield-Request-Id")
+	id := r.Header.Get(wire.Headers.RequestID)
 	source, _, _ := net.SplitHostPort(r.RemoteAddr)
 	length, err := time.ParseDuration(r.Header.Get("X-Work-Ms") + "ms")
 	if err != nil {
@@ -177,8 +177,8 @@
 	}
 	running := c.running
 	c.mu.Unlock()
-	rw.Header().Set("Fireflyfield-Request-Id", id)
-	rw.Header().Set("Fireflyfield-Response-Signature", "sig-"+c.ID)
-	rw.Header().Set("Fireflyfield-Instance-Load", fmt.Sprintf("%d,%d,6,100", min(running, 6), max(0, running-6)))
+	rw.Header().Set(wire.Headers.RequestID, id)
+	rw.Header().Set(wire.Headers.Signature, "sig-"+c.ID)
+	rw.Header().Set(wire.Headers.Load, fmt.Sprintf("%d,%d,6,100", min(running, 6), max(0, running-6)))
 	fmt.Fprintf(rw, "%s ran %s\n", c.ID, r.URL.Path) //nolint:errcheck // the caller may be gone
 }
--- a/review/standin/gone.go
+++ b/review/standin/gone.go
@@ -27,7 +27,7 @@
 
 // worksUntilClosed runs a request until its work is done or its connection closes.
 func (l *workLog) worksUntilClosed(w *world, worker string, rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Fireflyfield-Request-Id")
+	id := r.Header.Get(wire.Headers.RequestID)
 	length, err := time.ParseDuration(r.Header.Get("X-Work-Ms") + "ms")
 	if err != nil {
 		length = 0
@@ -50,8 +50,8 @@
 		w.record.printf("dropped  %s at %s", id, worker)
 		panic(http.ErrAbortHandler)
 	}
-	rw.Header().Set("Fireflyfield-Request-Id", id)
-	rw.Header().Set("Fireflyfield-Response-Signature", "sig-"+worker)
+	rw.Header().Set(wire.Headers.RequestID, id)
+	rw.Header().Set(wire.Headers.Signature, "sig-"+worker)
 	fmt.Fprintf(rw, "%s ran %s\n", worker, r.URL.Path) //nolint:errcheck // the caller may be gone
 }
 
@@ -147,8 +147,8 @@
 	for n := range count {
 		id := fmt.Sprintf("%s-%02d", name, n+1)
 		c.ids = append(c.ids, id)
-		fmt.Fprintf(&content, "GET /lookup/%s HTTP/1.1\r\nHost: trilha.example\r\nFireflyfield-Request-Id: %s\r\nFireflyfield-Deadline-Ms: 3000\r\n"+
-			"Authorization: Token %s\r\nX-Work-Ms: %d\r\n\r\n", id, id, callerKey, workMs)
+		fmt.Fprintf(&content, "GET /lookup/%s HTTP/1.1\r\nHost: trilha.example\r\n%s: %s\r\n%s: 3000\r\nAuthorization: Token %s\r\nX-Work-Ms: %d\r\n\r\n",
+			id, wire.Headers.RequestID, id, wire.Headers.Deadline, callerKey, workMs)
 	}
 	w.record.printf("sent     %d requests ahead on one connection to %s: %s to %s", count, v.name, c.ids[0], c.ids[count-1])
 	_, err = io.WriteString(conn, content.String())
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -87,7 +87,7 @@
 	w.logAddr = listener.Addr().String()
 	w.logServer = &http.Server{Handler: w.log, ReadHeaderTimeout: time.Minute}
 	go w.logServer.Serve(listener) //nolint:errcheck // it ends with Close
-	w.log.Put("keyed.op", "config", config)
+	w.log.Put(wire.Topics.Operator, wire.ConfigKey, config)
 	w.ports, err = freePorts()
 	return w, err
 }
@@ -152,16 +152,16 @@
 	if s.serve != nil {
 		switch {
 		case healthy(rw, r, s.ID):
-		case r.Header.Get("Fireflyfield-Expected-Instance") != s.ID:
-			rw.Header().Set("Fireflyfield-Not-Executed", "1")
+		case r.Header.Get(wire.Headers.Instance) != s.ID:
+			rw.Header().Set(wire.Headers.NotExecuted, "1")
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 		default:
 			s.serve(rw, r)
 		}
 		return
 	}
-	id := r.Header.Get("Fireflyfield-Request-Id")
-	expected := r.Header.Get("Fireflyfield-Expected-Instance")
+	id := r.Header.Get(wire.Headers.RequestID)
+	expected := r.Header.Get(wire.Headers.Instance)
 	if id != "" && r.URL.Path != platformtest.HealthPath && (expected == "" || expected == s.ID) {
 		source, _, _ := net.SplitHostPort(r.RemoteAddr)
 		s.world.noteRun(run{at: time.Now(), request: id, worker: s.ID, source: source})
@@ -174,7 +174,7 @@
 	if r.URL.Path != platformtest.HealthPath {
 		return false
 	}
-	rw.Header().Set("Fireflyfield-Instance-Id", id)
+	rw.Header().Set(wire.Headers.InstanceID, id)
 	return true
 }
 
@@ -218,7 +218,7 @@
 	if err != nil {
 		panic(err) // the type has no field that cannot be encoded
 	}
-	s.world.log.Put("keyed.servers", s.ID, content)
+	s.world.log.Put(wire.Topics.Catalogue, s.ID, content)
 }
 
 func (s *worker) expire() {
@@ -228,7 +228,7 @@
 		return
 	}
 	s.removed = true
-	s.world.log.Put("keyed.servers", s.ID, nil)
+	s.world.log.Put(wire.Topics.Catalogue, s.ID, nil)
 	s.world.record.printf("store    the entry of %s is removed after three intervals of silence", s.ID)
 }
 
@@ -403,10 +403,9 @@
 
 // answer is what a client got.
 type answer struct {
-	status  int
-	leaving bool
-	worker  string // that signed the answer
-	err     error
+	status int
+	worker string // that signed the answer
+	err    error
 }
 
 // client sends requests to one VM and keeps its connections.
@@ -435,8 +434,8 @@
 		return id, answer{err: err}
 	}
 	request.Host = host
-	request.Header.Set("Fireflyfield-Request-Id", id)
-	request.Header.Set("Fireflyfield-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	request.Header.Set(wire.Headers.RequestID, id)
+	request.Header.Set(wire.Headers.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Token "+callerKey)
 	request.Header.Set("X-Work-Ms", strconv.FormatInt(work.Milliseconds(), 10))
 	now := time.Now()
@@ -445,7 +444,7 @@
 	c.world.mu.Unlock()
 	c.world.record.printf("sent     %s to %s", id, c.vm.name)
 	a := c.receive(request, deadline)
-	c.world.record.printf("answered %s status %d signed by %q leaving %t after %d ms%s", id, a.status, a.worker, a.leaving, time.Since(now).Milliseconds(), errorText(a.err))
+	c.world.record.printf("answered %s status %d signed by %q after %d ms%s", id, a.status, a.worker, time.Since(now).Milliseconds(), errorText(a.err))
 	return id, a
 }
 
@@ -467,33 +466,7 @@
 		return answer{err: err}
 	}
 	return answer{
-		status: response.StatusCode, leaving: response.Header.Get("Server-Leaving") != "",
-		worker: strings.TrimPrefix(response.Header.Get("Fireflyfield-Response-Signature"), "sig-"),
+		status: response.StatusCode,
+		worker: strings.TrimPrefix(response.Header.Get(wire.Headers.Signature), "sig-"),
 	}
 }
-
-// config returns a configuration with one service without keys and one route, whose requests are
-// idempotent.
-func config(timeoutS, targetS float64, maxAttempts int) []byte {
-	return configFor(timeoutS, targetS, maxAttempts, 2000, 2000)
-}
-
-// configFor is config with the rate and burst of the tenant.
-func configFor(timeoutS, targetS float64, maxAttempts int, rate, burst float64) []byte {
-	table := func(columns []string, rows ...[]any) map[string]any {
-		return map[string]any{"columns": columns, "rows": rows}
-	}
-	content, err := json.Marshal(map[string]any{
-		"version": 3,
-		"routes": table([]string{"name", "host", "pathPrefix", "kind", "timeoutS", "targetLatencyS", "priority", "maxAttempts", "public", "service"},
-			[]any{"r-lookup", "trilha.example", "/lookup/", "safe", timeoutS, targetS, 2, maxAttempts, false, "trilha"}),
-		"services": table([]string{"name", "healthPath", "maxConnections", "coldStartS", "coldPerS", "sharded"},
-			[]any{"trilha", platformtest.HealthPath, 63, 3.0, 21.0, nil}),
-		"tenants": table([]string{"name", "apiKeys", "priority", "ratePerS", "burst"}, []any{tenant, []string{callerKey}, 1, rate, burst}),
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
-	})
-	if err != nil {
-		panic(err) // the types have no field that cannot be encoded
-	}
-	return content
-}
